--- /dev/null
+++ b/cmd/linkpass/config.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"beaconcart"
+	"beaconcart/internal/discovery"
+	"beaconcart/internal/settings"
+)
+
+// config is what the program is told at its start.
+type config struct {
+	name, listen, discovery string
+	seed                    uint64
+	memoryMB, sockets       int
+	cores                   float64
+	known                   discovery.Document
+	module                  beaconcart.Settings
+	host                    settings.Host
+}
+
+// document is the platform's configuration file.
+type document struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    discovery.Document `json:"known"`
+	Settings json.RawMessage    `json:"settings"`
+}
+
+// load reads the configuration that the environment names.
+func load(env func(string) string) (config, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return config{}, errors.New("ROUTER_CONFIG names no file")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return config{}, fmt.Errorf("configuration: %w", err)
+	}
+	var d document
+	if err := json.Unmarshal(data, &d); err != nil {
+		return config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	either := func(name, otherwise string) string {
+		if v := env(name); v != "" {
+			return v
+		}
+		return otherwise
+	}
+	c := config{name: either("ROUTER_NAME", d.Name), listen: either("ROUTER_LISTEN", d.Listen),
+		discovery: either("ROUTER_DISCOVERY", d.Discovery), known: d.Known,
+		memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
+	if c.listen == "" || c.discovery == "" {
+		return config{}, fmt.Errorf("configuration %s: listen or discovery is missing", path)
+	}
+	if c.seed, err = strconv.ParseUint(d.Seed, 16, 64); err != nil {
+		return config{}, fmt.Errorf("configuration %s: seed: %w", path, err)
+	}
+	if len(d.Settings) == 0 {
+		return config{}, fmt.Errorf("configuration %s: settings are missing", path)
+	}
+	if c.module, c.host, err = settings.ParseJSON(d.Settings); err != nil {
+		return config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if c.host.MaxStreams <= 0 || c.host.ConnectTimeout <= 0 || c.module.Tick <= 0 {
+		return config{}, fmt.Errorf("configuration %s: max_streams, connect_timeout and tick must be above 0", path)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/cmd/linkpass/run.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"beaconcart/internal/coordinator"
+	"beaconcart/internal/counters"
+	"beaconcart/internal/discovery"
+	"beaconcart/internal/http1"
+	"beaconcart/internal/link"
+	"beaconcart/internal/peer"
+	"beaconcart/internal/platform"
+)
+
+const (
+	grace = 450 * time.Millisecond // after SIGTERM new connections still come
+
+	memoryShare    = 0.6 // of the limit is the collector's; the rest is for what it does not see
+	socketShare    = 0.4 // of the descriptors is for clients
+	defaultSockets = 1024
+	plainProtocol  = "plain"
+)
+
+// run serves until the context ends, then finishes what was taken.
+func run(term context.Context, print <-chan os.Signal, cfg config) error {
+	if cfg.memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.memoryMB) * (1 << 20)))
+	}
+	runtime.GOMAXPROCS(max(1, int(cfg.cores)))
+	count := counters.New()
+	core, err := coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
+		ProbeTimeout: cfg.host.ConnectTimeout, Counters: count, Mailbox: 1024})
+	if err != nil {
+		return err
+	}
+	common := peer.Config{Sink: core, Counters: count, ReportNames: cfg.host.ReportNames,
+		Reports: cfg.host.ReportNames != nil, MaxStreams: cfg.host.MaxStreams,
+		ConnectTimeout: cfg.host.ConnectTimeout, Keepalive: cfg.host.Keepalive}
+	links := link.NewSet(link.Protocols{
+		Makers: map[string]link.Make{plainProtocol: func(name, addr string) link.Carrier {
+			return peer.New(common, name, addr)
+		}},
+		Of: func(string) string { return plainProtocol },
+	})
+	core.Bind(links)
+
+	ln, err := net.Listen("tcp", cfg.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	sockets := cfg.sockets
+	if sockets <= 0 {
+		sockets = defaultSockets
+	}
+	server := &http1.Server{Name: "platform", Clock: core, Counters: count,
+		MaxConns: int(socketShare * float64(sockets))}
+	front := &platform.Front{Core: core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: count,
+		Ready: func() bool { return !server.Draining() }}
+	server.Handler = front
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	coreDone := make(chan struct{})
+	go func() { defer close(coreDone); core.Run(ctx) }()
+	watcher := &discovery.Watcher{Addr: cfg.discovery, Core: core, Counters: count,
+		Reader: &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds, Cells: cfg.module.Cells, Clock: core.Clock}}
+	all.Go(func() { watcher.Run(ctx, cfg.known) })
+	all.Go(func() {
+		if err := server.Serve(ln); err != nil {
+			log.Printf("event=front_failed front=platform err=%q", err)
+		}
+	})
+	log.Printf("event=started name=%s listen=%s discovery=%s servers=%d", cfg.name, ln.Addr(), cfg.discovery, len(cfg.known.Servers))
+
+	for serving := true; serving; {
+		select {
+		case <-print:
+			count.Print("signal")
+		case <-term.Done():
+			serving = false
+		}
+	}
+	log.Printf("event=stopping grace_ms=%d", grace.Milliseconds())
+	server.Drain()
+	time.Sleep(grace)
+	_ = ln.Close()
+	server.Stop()
+	cancel()
+	<-coreDone
+	links.Close()
+	all.Wait()
+	count.Print("exit")
+	log.Printf("event=stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,576 @@
+// Package coordinator is the core of the program. It owns the decision module,
+// hands it what happened once a turn and carries out what it decides, and it
+// keeps each query until its one final answer. It knows no wire: fronts hand
+// queries in, links carry attempts out, and a list tells of servers.
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"beaconcart"
+	"beaconcart/internal/counters"
+	"beaconcart/internal/deadline"
+	"beaconcart/internal/end"
+)
+
+// Part is one part of a query, as its client named it.
+type Part struct {
+	Shard  int
+	Weight float64
+	Hint   time.Duration // expected work; 0: unknown
+	Key    uint64        // 0: none
+	Text   []byte        // handed to the server unchanged
+}
+
+// Query is what a front hands in.
+type Query struct {
+	Name    string // the client's name for it
+	Class   int
+	Began   time.Duration // by Core.Now: when the client's time began to run
+	Timeout time.Duration // how long the client waits from then on
+	Repeat  bool
+	Parts   []Part
+	// Reply takes the final answer, exactly once. It is called from the core's
+	// own goroutine and must not block.
+	Reply func(Answer)
+}
+
+// Verdict is how a query ends.
+type Verdict uint8
+
+// The ways in which a query ends.
+const (
+	Answered Verdict = iota
+	Refused
+	Failed
+)
+
+// Value is what a server gave for a part.
+type Value struct {
+	Shard int
+	Data  []byte
+	Score float64
+}
+
+// Miss tells what became of a part that is not in.
+type Miss struct {
+	Shard int
+	Last  end.End // how its latest attempt ended
+	Tried bool    // there was an attempt
+}
+
+// Answer is the final answer of a query.
+type Answer struct {
+	Verdict    Verdict
+	Whole      bool
+	Values     []Value // the parts that are in
+	Missing    []Miss  // the parts that are not
+	RetryAfter time.Duration
+	TimedOut   bool // the client's time was up
+}
+
+// AttemptID names one attempt.
+type AttemptID struct {
+	Part beaconcart.RequestID
+	No   int
+}
+
+// Attempt is one try of a part, as a link is to carry it.
+type Attempt struct {
+	ID    AttemptID
+	Query string // the client's name for the query
+	Shard int
+	Text  []byte
+	Ends  time.Duration // nothing may be written from then on
+	over  *atomic.Bool
+}
+
+// Dead tells whether the attempt has ended already; it may be asked anywhere.
+func (a Attempt) Dead() bool { return a.over != nil && a.over.Load() }
+
+// Member is one line of the server list.
+type Member struct {
+	beaconcart.Entry
+	Name, Addr string
+}
+
+// List is news of the servers.
+type List struct {
+	Mode    beaconcart.ListMode
+	Members []Member
+}
+
+// Links carry attempts and probes to servers. They are called on the core's
+// goroutine: no call may block, nor post to the core. Call and Probe tell
+// whether the work was taken; what was taken ends by Core.Ended or
+// Core.ProbeEnded.
+type Links interface {
+	List(List)
+	Call(beaconcart.ServerID, []Attempt) bool
+	Cancel(beaconcart.ServerID, AttemptID)
+	Probe(server beaconcart.ServerID, number uint64) bool
+}
+
+// Result is how an attempt or a probe ended at a server.
+type Result struct {
+	End    end.End
+	Report []float64
+	Value  []byte
+	Score  float64
+	At     time.Duration // by Core.Now: when it was known
+}
+
+// Config sets up a Core.
+type Config struct {
+	Settings     beaconcart.Settings
+	Seed         uint64
+	ProbeTimeout time.Duration
+	Counters     *counters.Set
+	Mailbox      int // messages that wait at most
+}
+
+// Core is the actor round the module.
+type Core struct {
+	set     beaconcart.Settings
+	router  *beaconcart.Router
+	links   Links
+	count   *counters.Set
+	mailbox chan func()
+	done    chan struct{}
+	epoch   time.Time
+	probeTO time.Duration
+
+	// Owned by the goroutine of Run.
+	dues     deadline.Queue
+	events   []beaconcart.Event
+	lastTurn time.Duration
+	lastID   beaconcart.RequestID
+	numbers  uint64
+	queries  map[beaconcart.RequestID]*query
+	parts    map[beaconcart.RequestID]*part
+	attempts map[AttemptID]*attempt
+	probes   map[uint64]*probe
+	calls    []call
+	idle     []chan struct{} // told when no query is open
+}
+
+type query struct {
+	Query
+	id    beaconcart.RequestID
+	ends  time.Duration
+	parts []*part
+	due   *deadline.Entry
+}
+
+type part struct {
+	Part
+	id       beaconcart.RequestID
+	query    *query
+	attempts int
+	in       bool
+	value    Value
+	last     end.End
+}
+
+type attempt struct {
+	id     AttemptID
+	part   *part
+	server beaconcart.ServerID
+	sent   time.Duration
+	due    *deadline.Entry
+	over   atomic.Bool // told to the links, which may still hold it back from the wire
+}
+
+type probe struct {
+	server beaconcart.ServerID
+	sent   time.Duration
+	due    *deadline.Entry
+}
+
+type call struct {
+	server   beaconcart.ServerID
+	attempts []Attempt
+}
+
+// originAge is the clock's reading at start: a server that started before that
+// counts as started long ago.
+const originAge = time.Hour
+
+// New makes a core. Bind gives it its links before Run.
+func New(c Config) (*Core, error) {
+	router, err := beaconcart.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	for _, class := range c.Settings.Classes {
+		if class.FetchParts > 0 || class.Stream {
+			return nil, errors.New("coordinator: classes with a second step or a stream are not served")
+		}
+	}
+	return &Core{
+		set: c.Settings, router: router, count: c.Counters, probeTO: c.ProbeTimeout,
+		mailbox: make(chan func(), max(64, c.Mailbox)), done: make(chan struct{}),
+		epoch:   time.Now().Add(-originAge),
+		queries: map[beaconcart.RequestID]*query{}, parts: map[beaconcart.RequestID]*part{},
+		attempts: map[AttemptID]*attempt{}, probes: map[uint64]*probe{},
+	}, nil
+}
+
+// Bind names the links. It is called once, before Run.
+func (c *Core) Bind(l Links) { c.links = l }
+
+// Now is the core's clock.
+func (c *Core) Now() time.Duration { return time.Since(c.epoch) }
+
+// Clock turns a point in Unix milliseconds into the core's clock. Zero and
+// what lies too far back are zero, which is long ago.
+func (c *Core) Clock(unixMS int64) time.Duration {
+	if unixMS <= 0 {
+		return 0
+	}
+	return max(0, time.Duration(unixMS)*time.Millisecond-time.Duration(c.epoch.UnixNano()))
+}
+
+// post puts a message into the mailbox; it waits while that is full, which the
+// core, never blocked itself, soon ends.
+func (c *Core) post(m func()) bool {
+	select {
+	case c.mailbox <- m:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// Arm sets a deadline in the core's structure on behalf of another actor. fire
+// runs on the core's goroutine and must not block. The result takes it out.
+func (c *Core) Arm(at time.Duration, fire func()) (disarm func()) {
+	var e *deadline.Entry
+	off := false
+	c.post(func() {
+		if !off {
+			e = c.dues.Arm(at, fire)
+		}
+	})
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			c.post(func() {
+				off = true
+				c.dues.Disarm(e)
+			})
+		})
+	}
+}
+
+// Submit hands in a query. The result tells the core that its client has left;
+// it may be called at any time and does nothing after the answer.
+func (c *Core) Submit(q Query) (leave func()) {
+	var open *query
+	if !c.post(func() { open = c.take(q) }) {
+		q.Reply(Answer{Verdict: Failed, Missing: missAll(q.Parts)})
+		return func() {}
+	}
+	return func() { c.post(func() { c.left(open) }) }
+}
+
+// List takes news of the servers.
+func (c *Core) List(l List) {
+	c.post(func() {
+		c.count.Add("list_updates", 1)
+		c.links.List(l)
+		entries := make([]beaconcart.Entry, len(l.Members))
+		for i, m := range l.Members {
+			entries[i] = m.Entry
+		}
+		c.events = append(c.events, beaconcart.ListUpdate{Mode: l.Mode, Entries: entries})
+	})
+}
+
+// Ended says how an attempt ended.
+func (c *Core) Ended(id AttemptID, r Result) { c.post(func() { c.ended(id, r) }) }
+
+// ProbeEnded says how a probe ended.
+func (c *Core) ProbeEnded(number uint64, r Result) { c.post(func() { c.probeEnded(number, r) }) }
+
+// Idle is closed once no query is open.
+func (c *Core) Idle() <-chan struct{} {
+	idle := make(chan struct{})
+	if !c.post(func() { c.idle = append(c.idle, idle) }) {
+		close(idle)
+	}
+	return idle
+}
+
+// Run takes turns until the context ends. What is open then is failed.
+func (c *Core) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case m := <-c.mailbox:
+			m()
+			c.drain()
+		case <-timer.C:
+		case <-ctx.Done():
+			close(c.done)
+			for _, q := range c.queries {
+				c.finish(q, Answer{Verdict: Failed})
+			}
+			return
+		}
+		now := c.Now()
+		if now >= c.lastTurn+c.set.Tick {
+			c.turn(now)
+		}
+		timer.Reset(c.wake(c.Now()))
+	}
+}
+
+// drain takes what already waits, up to a mailbox full of it.
+func (c *Core) drain() {
+	for range cap(c.mailbox) {
+		select {
+		case m := <-c.mailbox:
+			m()
+		default:
+			return
+		}
+	}
+}
+
+// wake is how long to sleep at most: until the next deadline or, with events in
+// hand, the next turn, and never shorter than the gap between turns.
+func (c *Core) wake(now time.Duration) time.Duration {
+	next, armed := c.dues.Next()
+	if len(c.events) > 0 || len(c.idle) > 0 && len(c.queries) == 0 {
+		next, armed = now, true
+	}
+	if !armed {
+		return time.Hour
+	}
+	return max(next, c.lastTurn+c.set.Tick) - now
+}
+
+// turn sweeps the deadlines, lets the module decide and carries that out.
+func (c *Core) turn(now time.Duration) {
+	c.lastTurn = now
+	c.dues.Sweep(now)
+	if len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		c.calls = c.calls[:0]
+		for _, a := range c.router.Turn(now, events) {
+			c.act(now, a)
+		}
+		for _, call := range c.calls {
+			if len(call.attempts) > 0 && !c.links.Call(call.server, call.attempts) {
+				for _, a := range call.attempts {
+					c.ended(a.ID, Result{End: end.Crowded, At: now})
+				}
+			}
+		}
+	}
+	if len(c.queries) == 0 {
+		for _, idle := range c.idle {
+			close(idle)
+		}
+		c.idle = nil
+	}
+}
+
+// take opens a query: it and its parts go to the module in one turn.
+func (c *Core) take(q Query) *query {
+	now := c.Now()
+	c.count.Add("queries_taken", 1)
+	c.lastID++
+	c.numbers++
+	open := &query{Query: q, id: c.lastID, ends: q.Began + q.Timeout}
+	c.queries[open.id] = open
+	left := max(0, open.ends-now)
+	c.events = append(c.events, beaconcart.Arrival{ID: open.id, Shard: -1, Left: left, Class: q.Class,
+		Repeat: q.Repeat, Amount: float64(len(q.Parts)), Query: c.numbers})
+	for _, p := range q.Parts {
+		c.lastID++
+		mine := &part{Part: p, id: c.lastID, query: open}
+		open.parts = append(open.parts, mine)
+		c.parts[mine.id] = mine
+		c.events = append(c.events, beaconcart.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class,
+			Repeat: q.Repeat, Cost: p.Hint, Key: p.Key, Amount: p.Weight, Query: c.numbers})
+	}
+	// Guards against a query that the module never ends: it fails when its time is over.
+	open.due = c.dues.Arm(open.ends+c.set.AnswerSlack, func() {
+		log.Printf("event=query_overdue query=%q class=%d", open.Name, open.Class)
+		c.count.Add("queries_overdue", 1)
+		c.events = append(c.events, beaconcart.ClientGone{ID: open.id})
+		c.finish(open, Answer{Verdict: Failed, TimedOut: true})
+	})
+	return open
+}
+
+// left ends a query whose client has gone.
+func (c *Core) left(q *query) {
+	if q == nil || c.queries[q.id] == nil {
+		return
+	}
+	c.count.Add("clients_gone", 1)
+	c.events = append(c.events, beaconcart.ClientGone{ID: q.id})
+	c.finish(q, Answer{Verdict: Failed})
+}
+
+// finish gives a query its one answer and forgets it. Attempts that are out
+// stay until they end.
+func (c *Core) finish(q *query, a Answer) {
+	if c.queries[q.id] == nil {
+		return
+	}
+	delete(c.queries, q.id)
+	c.dues.Disarm(q.due)
+	a.TimedOut = a.TimedOut || c.Now() >= q.ends-2*c.set.Tick
+	for _, p := range q.parts {
+		delete(c.parts, p.id)
+		switch {
+		case p.in && a.Verdict == Answered:
+			a.Values = append(a.Values, p.value)
+		case !p.in:
+			a.Missing = append(a.Missing, Miss{Shard: p.Shard, Last: p.last, Tried: p.attempts > 0})
+		}
+	}
+	c.count.Add([...]string{Answered: "queries_answered", Refused: "queries_refused",
+		Failed: "queries_failed"}[a.Verdict], 1)
+	q.Reply(a)
+}
+
+func missAll(parts []Part) (out []Miss) {
+	for _, p := range parts {
+		out = append(out, Miss{Shard: p.Shard})
+	}
+	return out
+}
+
+// act carries out one action of the module.
+func (c *Core) act(now time.Duration, action beaconcart.Action) {
+	switch a := action.(type) {
+	case beaconcart.Send:
+		c.send(now, a)
+	case beaconcart.Cancel:
+		id := AttemptID{a.ID, a.Attempt}
+		if at := c.attempts[id]; at != nil {
+			c.count.Add("attempts_cancelled", 1)
+			c.withdraw(at)
+			c.links.Cancel(at.server, id)
+			c.ended(id, Result{End: end.CalledOff, At: now})
+		}
+	case beaconcart.Refuse:
+		if q := c.queries[a.ID]; q != nil {
+			c.finish(q, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
+		}
+	case beaconcart.Fail:
+		if q := c.queries[a.ID]; q != nil {
+			c.finish(q, Answer{Verdict: Failed})
+		}
+	case beaconcart.Answer:
+		if q := c.queries[a.ID]; q != nil {
+			c.finish(q, Answer{Verdict: Answered, Whole: a.Whole})
+		}
+	case beaconcart.SetTimer:
+		c.dues.Arm(now+a.After, func() { c.events = append(c.events, beaconcart.Alarm{Token: a.Token}) })
+	case beaconcart.Probe:
+		c.probe(now, a.Server)
+	}
+}
+
+// withdraw takes an attempt out of the turn's calls, if it is not yet handed on.
+func (c *Core) withdraw(at *attempt) {
+	for i := range c.calls {
+		list := c.calls[i].attempts
+		for j := range list {
+			if list[j].ID == at.id {
+				c.calls[i].attempts = append(list[:j:j], list[j+1:]...)
+				return
+			}
+		}
+	}
+}
+
+// send opens an attempt; those of one turn to one server share calls.
+func (c *Core) send(now time.Duration, a beaconcart.Send) {
+	p := c.parts[a.ID]
+	if p == nil {
+		c.count.Add("sends_stray", 1)
+		return
+	}
+	at := &attempt{id: AttemptID{a.ID, p.attempts}, part: p, server: a.Server, sent: now}
+	p.attempts++
+	c.attempts[at.id] = at
+	c.count.Add("attempts_sent", 1)
+	wait := p.query.ends - now
+	if a.Timeout > 0 {
+		wait = min(wait, a.Timeout)
+	}
+	at.due = c.dues.Arm(now+max(0, wait), func() {
+		c.links.Cancel(at.server, at.id)
+		c.ended(at.id, Result{End: end.Silent, At: c.Now()})
+	})
+	out := Attempt{ID: at.id, Query: p.query.Name, Shard: p.Shard, Text: p.Text,
+		Ends: p.query.ends, over: &at.over}
+	for i := range c.calls {
+		if c.calls[i].server == a.Server && len(c.calls[i].attempts) < c.set.CallParts {
+			c.calls[i].attempts = append(c.calls[i].attempts, out)
+			return
+		}
+	}
+	c.calls = append(c.calls, call{a.Server, []Attempt{out}})
+}
+
+// ended books the end of an attempt, once; what comes later is dropped.
+func (c *Core) ended(id AttemptID, r Result) {
+	at := c.attempts[id]
+	if at == nil {
+		c.count.Add("results_late", 1)
+		return
+	}
+	delete(c.attempts, id)
+	at.over.Store(true)
+	c.dues.Disarm(at.due)
+	c.count.Add("attempts_"+r.End.String(), 1)
+	p := at.part
+	if !p.in {
+		p.last = r.End
+	}
+	if r.End == end.Served && !p.in {
+		p.in, p.value = true, Value{Shard: p.Shard, Data: r.Value, Score: r.Score}
+	}
+	c.events = append(c.events, beaconcart.Outcome{ID: id.Part, Attempt: id.No, Server: at.server,
+		Code: r.End.Code(), Took: max(0, r.At-at.sent), Final: p.in, Report: r.Report})
+}
+
+// probe sends a probe; it is lost when nothing has come within the time for it.
+func (c *Core) probe(now time.Duration, server beaconcart.ServerID) {
+	c.count.Add("probes_sent", 1)
+	c.numbers++
+	number := c.numbers
+	p := &probe{server: server, sent: now}
+	p.due = c.dues.Arm(now+c.probeTO, func() { c.probeEnded(number, Result{End: end.Silent, At: c.Now()}) })
+	c.probes[number] = p
+	if !c.links.Probe(server, number) {
+		c.probeEnded(number, Result{End: end.Crowded, At: now})
+	}
+}
+
+func (c *Core) probeEnded(number uint64, r Result) {
+	p := c.probes[number]
+	if p == nil {
+		return
+	}
+	delete(c.probes, number)
+	c.dues.Disarm(p.due)
+	c.count.Add("probes_"+r.End.String(), 1)
+	c.events = append(c.events, beaconcart.Probed{Server: p.server, Code: r.End.Code(),
+		Took: max(0, r.At-p.sent), Report: r.Report})
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,160 @@
+// Package link holds the way to each listed server: which protocol it speaks,
+// and the carrier that speaks it.
+package link
+
+import (
+	"log"
+	"time"
+
+	"beaconcart"
+	"beaconcart/internal/coordinator"
+)
+
+// Carrier is the actor that speaks with one server.
+type Carrier interface {
+	Call([]coordinator.Attempt) bool
+	Cancel(coordinator.AttemptID)
+	Probe(number uint64) bool
+	Fit(bool)                // whether the list wants new work sent
+	Restarted(time.Duration) // the server's process began anew then
+	Retire()                 // no new work; ends once nothing is out
+	Close()
+	Wait()
+}
+
+// Make starts the carrier of a server.
+type Make func(name, addr string) Carrier
+
+// Protocols tells how each protocol is spoken, and which one a server speaks.
+type Protocols struct {
+	Makers map[string]Make
+	Of     func(server string) string
+}
+
+// Set is every server's link. All calls come from the core's goroutine, and
+// Close after that has ended.
+type Set struct {
+	protocols Protocols
+	members   map[beaconcart.ServerID]*member
+	retired   []Carrier
+}
+
+type member struct {
+	coordinator.Member
+	protocol string
+	carrier  Carrier
+}
+
+// NewSet makes an empty set.
+func NewSet(p Protocols) *Set {
+	return &Set{protocols: p, members: map[beaconcart.ServerID]*member{}}
+}
+
+// List follows the list of servers.
+func (s *Set) List(l coordinator.List) {
+	named := map[beaconcart.ServerID]bool{}
+	for _, m := range l.Members {
+		named[m.Server] = true
+		s.follow(m)
+	}
+	if l.Mode == beaconcart.ListDelta {
+		return
+	}
+	for id, m := range s.members {
+		if !named[id] {
+			s.leave(id, m)
+		}
+	}
+}
+
+func (s *Set) follow(m coordinator.Member) {
+	old := s.members[m.Server]
+	if m.State == beaconcart.Gone {
+		if old != nil {
+			s.leave(m.Server, old)
+		}
+		return
+	}
+	if old == nil {
+		old = &member{}
+		s.members[m.Server] = old
+	}
+	if old.carrier != nil && old.Addr != m.Addr {
+		s.retire(old)
+	}
+	if old.carrier != nil && m.Since > old.Since {
+		old.carrier.Restarted(m.Since)
+	}
+	old.Member = m
+	s.speak(old)
+	old.carrier.Fit(m.State == beaconcart.Ready)
+}
+
+// speak sees to it that a member's carrier speaks the server's protocol of the
+// day: later parts go out in the new one, what is out ends in the old.
+func (s *Set) speak(m *member) {
+	protocol := s.protocols.Of(m.Name)
+	if m.carrier != nil && m.protocol != protocol {
+		log.Printf("event=protocol_changed server=%s from=%s to=%s", m.Name, m.protocol, protocol)
+		s.retire(m)
+	}
+	if m.carrier == nil {
+		m.protocol, m.carrier = protocol, s.protocols.Makers[protocol](m.Name, m.Addr)
+		m.carrier.Fit(m.State == beaconcart.Ready)
+	}
+}
+
+func (s *Set) retire(m *member) {
+	m.carrier.Retire()
+	s.retired = append(s.retired, m.carrier)
+	m.carrier = nil
+}
+
+func (s *Set) leave(id beaconcart.ServerID, m *member) {
+	s.retire(m)
+	delete(s.members, id)
+}
+
+// Call hands on one call.
+func (s *Set) Call(id beaconcart.ServerID, list []coordinator.Attempt) bool {
+	m := s.members[id]
+	if m == nil {
+		return false
+	}
+	s.speak(m)
+	return m.carrier.Call(list)
+}
+
+// Cancel gives an attempt up, whichever carrier has it.
+func (s *Set) Cancel(id beaconcart.ServerID, attempt coordinator.AttemptID) {
+	if m := s.members[id]; m != nil {
+		m.carrier.Cancel(attempt)
+	}
+	for _, c := range s.retired {
+		c.Cancel(attempt)
+	}
+}
+
+// Probe asks a server for a sign of life.
+func (s *Set) Probe(id beaconcart.ServerID, number uint64) bool {
+	m := s.members[id]
+	if m == nil {
+		return false
+	}
+	s.speak(m)
+	return m.carrier.Probe(number)
+}
+
+// Close ends every carrier and waits for it.
+func (s *Set) Close() {
+	all := s.retired
+	for _, m := range s.members {
+		all = append(all, m.carrier)
+	}
+	for _, c := range all {
+		c.Close()
+	}
+	for _, c := range all {
+		c.Wait()
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,173 @@
+// Package platform is the thin front of the platform: clients post queries
+// that are already divided into parts, and get one JSON answer.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"beaconcart/internal/coordinator"
+	"beaconcart/internal/counters"
+	"beaconcart/internal/http1"
+)
+
+// Core takes queries.
+type Core interface {
+	Submit(coordinator.Query) (leave func())
+}
+
+// Front answers the platform's requests.
+type Front struct {
+	Core     Core
+	Classes  []string // names, by number
+	Shards   int
+	Counters *counters.Set
+	Ready    func() bool
+}
+
+const (
+	maxName    = 128            // bytes of a query's name
+	maxTimeout = 10 * time.Hour // guards the sums of times
+)
+
+type body struct {
+	Parts []struct {
+		ID   *int    `json:"id"`
+		W    float64 `json:"w"`
+		Hint float64 `json:"hint"`
+		Tag  string  `json:"tag"`
+	} `json:"parts"`
+	Expr *string `json:"expr"`
+}
+
+type row struct {
+	ID   int    `json:"id"`
+	Data string `json:"data"`
+}
+
+type answer struct {
+	Exact bool  `json:"exact"`
+	Rows  []row `json:"rows"`
+}
+
+// Serve answers one request.
+func (f *Front) Serve(ctx context.Context, began time.Duration, req *http1.Request) *http1.Response {
+	if req.Path == "/health/ready" {
+		if f.Ready() {
+			return &http1.Response{Status: 200, Body: []byte("ready\n")}
+		}
+		return &http1.Response{Status: 503, Body: []byte("not ready\n")}
+	}
+	query, status, err := f.query(req)
+	if err != nil {
+		f.Counters.Add("platform_rejected", 1)
+		log.Printf("event=query_rejected front=platform status=%d err=%q", status, err)
+		return &http1.Response{Status: status, Body: []byte(err.Error() + "\n")}
+	}
+	query.Began = began
+	done := make(chan coordinator.Answer, 1)
+	query.Reply = func(a coordinator.Answer) { done <- a }
+	leave := f.Core.Submit(query)
+	select {
+	case a := <-done:
+		return response(a)
+	case <-ctx.Done():
+		leave()
+		return response(<-done)
+	}
+}
+
+// query reads what a client asks; an error comes with its status.
+func (f *Front) query(req *http1.Request) (q coordinator.Query, status int, err error) {
+	first, _, _ := strings.Cut(strings.TrimPrefix(req.Path, "/"), "/")
+	q.Class = slices.Index(f.Classes, first)
+	if q.Class < 0 {
+		return q, 404, fmt.Errorf("unknown class %q", first)
+	}
+	if req.Method != "POST" {
+		return q, 405, fmt.Errorf("method %q on a class", req.Method)
+	}
+	if name := req.Header.Get("X-Priority-Class"); name != "" && name != first {
+		return q, 400, fmt.Errorf("class %q in the header and %q in the path", name, first)
+	}
+	q.Name = req.Header.Get("X-Request-Id")
+	if !plainName(q.Name) {
+		return q, 400, fmt.Errorf("X-Request-ID %.40q", q.Name)
+	}
+	ms, err := strconv.ParseInt(req.Header.Get("X-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return q, 400, fmt.Errorf("X-Timeout-Ms %.40q", req.Header.Get("X-Timeout-Ms"))
+	}
+	q.Timeout = time.Duration(ms) * time.Millisecond
+	q.Repeat = req.Header.Get("X-Retried") == "1"
+	q.Parts, err = f.parts(req.Body)
+	return q, 400, err
+}
+
+// plainName tells whether a name can stand in a line of a frame.
+func plainName(s string) bool {
+	return s != "" && len(s) <= maxName && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+func (f *Front) parts(data []byte) ([]coordinator.Part, error) {
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	if b.Expr == nil || len(b.Parts) == 0 {
+		return nil, fmt.Errorf("body needs expr and parts")
+	}
+	seen := map[int]bool{}
+	parts := make([]coordinator.Part, 0, len(b.Parts))
+	for _, p := range b.Parts {
+		if p.ID == nil || *p.ID < 0 || *p.ID >= f.Shards || seen[*p.ID] {
+			return nil, fmt.Errorf("body: a part names no slice, an unknown one, or one twice")
+		}
+		if p.W < 0 || p.Hint < 0 || p.Hint > 1e12 {
+			return nil, fmt.Errorf("body: part %d has a weight or a hint below 0", *p.ID)
+		}
+		var key uint64
+		if p.Tag != "" {
+			var err error
+			if key, err = strconv.ParseUint(p.Tag, 16, 64); err != nil {
+				return nil, fmt.Errorf("body: tag of part %d: %w", *p.ID, err)
+			}
+		}
+		seen[*p.ID] = true
+		parts = append(parts, coordinator.Part{Shard: *p.ID, Weight: p.W, Key: key,
+			Hint: time.Duration(p.Hint) * time.Microsecond, Text: []byte(*b.Expr)})
+	}
+	return parts, nil
+}
+
+// response words the core's answer.
+func response(a coordinator.Answer) *http1.Response {
+	switch a.Verdict {
+	case coordinator.Answered:
+		out := answer{Exact: a.Whole, Rows: []row{}}
+		for _, v := range a.Values {
+			out.Rows = append(out.Rows, row{ID: v.Shard, Data: string(v.Data)})
+		}
+		data, err := json.Marshal(out)
+		if err != nil { // strings, numbers and a flag always encode
+			return &http1.Response{Status: 500}
+		}
+		return &http1.Response{Status: 200, Body: data,
+			Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}}
+	case coordinator.Refused:
+		res := &http1.Response{Status: 503}
+		if a.RetryAfter > 0 {
+			seconds := strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)
+			res.Header = textproto.MIMEHeader{"Retry-After": {seconds}}
+		}
+		return res
+	}
+	return &http1.Response{Status: 500, Body: []byte("failed\n")}
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,7 +1,12 @@
-package wire
+// Package settings reads the deployment's figures. They come as path=value lines
+// on the simulator's wire and as nested JSON on the platform; the names and the
+// units are the same.
+package settings
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -40,7 +45,7 @@
 	return s.number(path)
 }
 
-func (s *settingsReader) ms(path string) time.Duration { return duration(s.number(path)) }
+func (s *settingsReader) ms(path string) time.Duration { return Duration(s.number(path)) }
 
 func (s *settingsReader) flag(path string) bool { return s.values[path] == "true" }
 
@@ -66,10 +71,19 @@
 	return out
 }
 
-// ParseSettings reads the settings text of an enlist event. Unknown keys are
-// skipped; a key that is needed and missing is an error that names it.
-func ParseSettings(text string) (beaconcart.Settings, error) {
-	s := &settingsReader{values: map[string]string{}}
+// Host is what a host needs beside the module's settings.
+type Host struct {
+	Zones, Kinds, Classes []string
+	ReportNames           []string      // names of a report's values, in the module's order
+	MaxStreams            int           // calls that one connection carries at a time
+	ConnectTimeout        time.Duration // a connection not up by then has failed
+	Keepalive             time.Duration // the other side closes an idle connection after this
+	ReportInAnswers       bool
+}
+
+// ParseText reads the simulator's path=value lines.
+func ParseText(text string) (beaconcart.Settings, error) {
+	values := map[string]string{}
 	for line := range strings.Lines(text) {
 		line = strings.TrimRight(line, "\r\n")
 		if line == "" {
@@ -79,8 +93,90 @@
 		if !ok {
 			return beaconcart.Settings{}, fmt.Errorf("settings: line without '=': %q", line)
 		}
-		s.values[path] = value
+		values[path] = value
+	}
+	s := &settingsReader{values: values}
+	return s.module(), s.err
+}
+
+// ParseJSON reads the platform's nested object.
+func ParseJSON(data []byte) (beaconcart.Settings, Host, error) {
+	var tree map[string]any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return beaconcart.Settings{}, Host{}, fmt.Errorf("settings: %w", err)
+	}
+	s := &settingsReader{values: map[string]string{}}
+	flatten(s.values, "", tree)
+	set, host := s.module(), s.host()
+	return set, host, s.err
+}
+
+// flatten writes a JSON value as the simulator's lines would have it.
+func flatten(out map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, item := range v {
+			flatten(out, strings.TrimPrefix(path+"."+key, "."), item)
+		}
+	case []any:
+		var plain []string
+		objects := 0
+		for _, item := range v {
+			if object, ok := item.(map[string]any); ok {
+				flatten(out, fmt.Sprintf("%s.%d", path, objects), object)
+				objects++
+			} else {
+				plain = append(plain, scalar(item))
+			}
+		}
+		if objects > 0 {
+			out[path+".count"] = strconv.Itoa(objects)
+		} else {
+			out[path] = strings.Join(plain, ",")
+		}
+	default:
+		out[path] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		return strings.NewReplacer(" ", "_", ",", "_").Replace(v)
+	case float64:
+		return strconv.FormatFloat(v, 'g', -1, 64)
+	}
+	return fmt.Sprint(v)
+}
+
+// host reads what the host needs.
+func (s *settingsReader) host() Host {
+	h := Host{
+		Zones: s.names("dcs"), Kinds: s.names("kinds"), ReportNames: s.names("report.fields"),
+		MaxStreams:      int(s.number("bounds.max_streams")),
+		ConnectTimeout:  s.ms("bounds.connect_timeout"),
+		Keepalive:       s.ms("bounds.keepalive"),
+		ReportInAnswers: s.values["report.how"] == "inline",
+	}
+	for i := range s.count("request_classes") {
+		h.Classes = append(h.Classes, s.values[fmt.Sprintf("request_classes.%d.name", i)])
+	}
+	return h
+}
+
+// names reads a comma-separated list.
+func (s *settingsReader) names(path string) []string {
+	if s.values[path] == "" {
+		return nil
 	}
+	return strings.Split(s.values[path], ",")
+}
+
+// module reads the settings of the module. Unknown keys are skipped; a key that
+// is needed and missing is an error that names it.
+func (s *settingsReader) module() beaconcart.Settings {
 	out := beaconcart.Settings{
 		Tick:           s.ms("tick"),
 		Peers:          int(s.needed("peers_total")),
@@ -117,8 +213,8 @@
 	for i := range n {
 		at := fmt.Sprintf("request_classes.%d.", i)
 		c := beaconcart.Class{
-			Aim:        duration(s.needed(at + "aim")),
-			Deadline:   duration(s.needed(at + "hard_limit")),
+			Aim:        Duration(s.needed(at + "aim")),
+			Deadline:   Duration(s.needed(at + "hard_limit")),
 			Window:     s.ms(at + "dedup_window"),
 			Worth:      s.number(at + "importance"),
 			LateShare:  s.number(at + "late_share"),
@@ -157,7 +253,7 @@
 			out.ReportFields = append(out.ReportFields, fields[name])
 		}
 	}
-	return out, s.err
+	return out
 }
 
 // count reads the length of a list of objects, within what a page can hold.
@@ -169,3 +265,13 @@
 	}
 	return int(n)
 }
+
+// Duration turns milliseconds into time, to the microsecond. Values that are
+// no number count as none, values out of range as the largest.
+func Duration(ms float64) time.Duration {
+	if math.IsNaN(ms) {
+		return 0
+	}
+	ms = max(-1e12, min(1e12, ms))
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"beaconcart"
+	"beaconcart/internal/settings"
 )
 
 const (
@@ -99,7 +100,7 @@
 	if math.IsNaN(ms) || ms < 0 || ms > 1e12 {
 		return 0, fmt.Errorf("batch header: clock %v is out of range", ms)
 	}
-	return duration(ms), nil
+	return settings.Duration(ms), nil
 }
 
 // record reads fields at fixed places of one event record or entry.
@@ -116,7 +117,7 @@
 	return float64(math.Float32frombits(r.u32(at)))
 }
 func (r *record) ms(at int) time.Duration {
-	return duration(math.Float64frombits(r.u64(at)))
+	return settings.Duration(math.Float64frombits(r.u64(at)))
 }
 
 // server packs four address bytes, first byte first, and the port.
@@ -169,7 +170,7 @@
 			return fmt.Errorf("enlist: %w", err)
 		}
 		m.Kind, m.Seed = Enlist, r.u64(4)
-		if m.Settings, err = ParseSettings(string(text)); err != nil {
+		if m.Settings, err = settings.ParseText(string(text)); err != nil {
 			return fmt.Errorf("enlist: %w", err)
 		}
 	case 1090:
@@ -345,13 +346,3 @@
 	ms := float64(d) / float64(time.Millisecond)
 	binary.LittleEndian.PutUint64(b, math.Float64bits(ms))
 }
-
-// duration turns milliseconds into time, to the microsecond. Values that are
-// no number count as none, values out of range as the largest.
-func duration(ms float64) time.Duration {
-	if math.IsNaN(ms) {
-		return 0
-	}
-	ms = max(-1e12, min(1e12, ms))
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond
-}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"beaconcart"
+	"beaconcart/internal/settings"
 )
 
 const settingsText = `az=1
@@ -167,7 +168,7 @@
 }
 
 func TestSettings(t *testing.T) {
-	s, err := ParseSettings(settingsText)
+	s, err := settings.ParseText(settingsText)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -188,7 +189,7 @@
 	}
 	for _, missing := range []string{"extra.places", "request_classes.0.aim", "peers_total"} {
 		text := strings.Replace(settingsText, missing+"=", "old."+missing+"=", 1)
-		if _, err := ParseSettings(text); err == nil || !strings.Contains(err.Error(), missing) {
+		if _, err := settings.ParseText(text); err == nil || !strings.Contains(err.Error(), missing) {
 			t.Errorf("without %s: error %v", missing, err)
 		}
 	}
