Hold version 0 of the list like any other

Cause: Watcher.watch took version 0 for no version and asked for the whole list, which is answered at once, again and again.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,6 +26,10 @@
 	pause      = 50 * time.Millisecond  // before a new connection; a renewal has 200 ms
 	dialLimit  = 500 * time.Millisecond // the agent is on this machine
 	maxList    = 1 << 20                // bytes of a list
+
+	// none stands for no version held. Version 0 is a real one: asking for the
+	// whole list in its place, which is answered at once, would go on for ever.
+	none = -1
 )
 
 // Document is a list in discovery's form.
@@ -116,6 +120,7 @@
 
 // Run starts from the list last known and watches until the context ends.
 func (w *Watcher) Run(ctx context.Context, known Document) {
+	w.version = none
 	if list, err := w.Reader.List(known); err != nil {
 		w.bad(err)
 	} else {
@@ -151,7 +156,7 @@
 	reader := http1.NewReader(nc, maxList)
 	for {
 		path := fmt.Sprintf("/registry/instances?after=%d&wait_ms=%d", w.version, watchWait.Milliseconds())
-		if w.version <= 0 {
+		if w.version < 0 {
 			path = "/registry/instances"
 		}
 		disarm := w.Core.Arm(w.Core.Now()+watchWait+watchSlack, cancel)
@@ -169,7 +174,7 @@
 		}
 		if err := w.take(res.Body); err != nil {
 			w.bad(err)
-			w.version = 0 // the whole list will set it right
+			w.version = none // the whole list will set it right
 			return err
 		}
 		if res.Close {
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,119 @@
+package discovery
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"beaconcart"
+	"beaconcart/internal/coordinator"
+	"beaconcart/internal/counters"
+	"beaconcart/internal/http1"
+)
+
+type fakeCore struct{ lists chan coordinator.List }
+
+func (f *fakeCore) List(l coordinator.List)                   { f.lists <- l }
+func (f *fakeCore) Now() time.Duration                        { return 0 }
+func (f *fakeCore) Arm(time.Duration, func()) (disarm func()) { return func() {} }
+
+func reader() *Reader {
+	return &Reader{Zones: []string{"ebene", "port-louis"}, Kinds: []string{"m2"}, Cells: 6,
+		Clock: func(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }}
+}
+
+// agent answers each call with the next document and hands on its path.
+func agent(t *testing.T, paths chan<- string, answers <-chan string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				r := http1.NewReader(nc, 0)
+				for {
+					req, err := r.Request()
+					if err != nil {
+						return
+					}
+					paths <- req.Path + "?" + req.Query
+					body, ok := <-answers
+					if !ok || http1.WriteResponse(nc, &http1.Response{Status: 200, Body: []byte(body)}) != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+const server = `{"id":"s-1","addr":"127.0.0.1:9","zone":"port-louis","kind":"m2","cell":3,"state":"in_service","weight":1.5,"started_ms":7}`
+
+// A list at version 0 is held like any other: asked for as a whole it came at
+// once, again and again, and took most of a core.
+func TestWatchContinuesFromVersionZero(t *testing.T) {
+	paths, answers := make(chan string), make(chan string)
+	defer close(answers)
+	core := &fakeCore{lists: make(chan coordinator.List, 4)}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w := &Watcher{Addr: agent(t, paths, answers), Reader: reader(), Core: core, Counters: counters.New()}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx, Document{Version: 0, Full: true, Servers: []Server{{ID: "s-1", Addr: "127.0.0.1:9", State: "in_service"}}})
+	}()
+	if l := <-core.lists; l.Mode != beaconcart.ListCached || len(l.Members) != 1 {
+		t.Fatalf("known list came as %+v", l)
+	}
+	next := func(want string) {
+		t.Helper()
+		if got := <-paths; !strings.HasPrefix(got, want) {
+			t.Fatalf("asked %q, want %q", got, want)
+		}
+	}
+	next("/registry/instances?after=0&wait_ms=")
+	answers <- `{"version":0,"full":false,"servers":[]}`
+	next("/registry/instances?after=0&wait_ms=")
+	answers <- `{"version":2,"full":false,"servers":[` + server + `]}`
+	l := <-core.lists
+	if m := l.Members[0]; l.Mode != beaconcart.ListDelta || m.Zone != 1 || m.Cell != 3 || m.Since != 7*time.Millisecond {
+		t.Errorf("change came as %+v", l)
+	}
+	next("/registry/instances?after=2&wait_ms=")
+	answers <- `{"version":3,"full":false,"servers":[{"id":"s-2","state":"asleep"}]}`
+	next("/registry/instances?") // a list that can't be used is asked for anew, and whole
+	if w.Counters.Get("discovery_bad") != 1 || len(core.lists) != 0 {
+		t.Errorf("bad list: counters %s, %d lists", w.Counters, len(core.lists))
+	}
+	cancel()
+	<-done
+}
+
+func TestListsFromAnything(t *testing.T) {
+	valid := `{"version":41,"full":true,"servers":[` + server + `]}`
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
+		if rapid.Bool().Draw(t, "cut") {
+			data = []byte(valid[:rapid.IntRange(0, len(valid)-1).Draw(t, "at")])
+			if _, err := Parse(data); err == nil {
+				t.Fatalf("took the cut list %q", data)
+			}
+		}
+		if d, err := Parse(data); err == nil {
+			_, _ = reader().List(d)
+		}
+	})
+}
