--- a/api.go
+++ b/api.go
@@ -1,11 +1,11 @@
-// Package beaconcart decides, for one front node, what a query router does in
+// Package linkpass decides, for one front node, what a query router does in
 // front of a sharded, replicated store. This file is its whole interface: the
 // settings, the events that go in, the actions that come out. The decisions
 // are in router.go.
 //
 // A Router is single-threaded, reads no clock and starts no goroutine: the
 // caller hands it one turn at a time and carries out the actions it returns.
-package beaconcart
+package linkpass
 
 import (
 	"fmt"
@@ -278,15 +278,15 @@
 // check refuses settings that no router can work with.
 func (s *Settings) check() error {
 	if s.Shards <= 0 || s.Cells <= 0 || s.Reach <= 0 || s.Reach > s.Cells {
-		return fmt.Errorf("beaconcart: layout of %d shards in %d cells with reach %d is unusable",
+		return fmt.Errorf("linkpass: layout of %d shards in %d cells with reach %d is unusable",
 			s.Shards, s.Cells, s.Reach)
 	}
 	if len(s.Classes) == 0 || s.Peers <= 0 {
-		return fmt.Errorf("beaconcart: %d classes and %d front nodes are unusable", len(s.Classes), s.Peers)
+		return fmt.Errorf("linkpass: %d classes and %d front nodes are unusable", len(s.Classes), s.Peers)
 	}
 	for i, c := range s.Classes {
 		if c.Aim <= 0 || c.Deadline <= 0 || c.Need <= 0 {
-			return fmt.Errorf("beaconcart: class %d lacks an aim, a deadline or a need", i)
+			return fmt.Errorf("linkpass: class %d lacks an aim, a deadline or a need", i)
 		}
 	}
 	return nil
--- a/cmd/linkpass/config.go
+++ b/cmd/linkpass/config.go
@@ -7,9 +7,9 @@
 	"os"
 	"strconv"
 
-	"beaconcart"
-	"beaconcart/internal/discovery"
-	"beaconcart/internal/settings"
+	"linkpass"
+	"linkpass/internal/discovery"
+	"linkpass/internal/settings"
 )
 
 // config is what the program is told at its start.
@@ -19,7 +19,7 @@
 	memoryMB, sockets       int
 	cores                   float64
 	known                   discovery.Document
-	module                  beaconcart.Settings
+	module                  linkpass.Settings
 	host                    settings.Host
 }
 
--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
-	"beaconcart/internal/coordinator"
-	"beaconcart/internal/counters"
-	"beaconcart/internal/discovery"
-	"beaconcart/internal/http1"
-	"beaconcart/internal/link"
-	"beaconcart/internal/peer"
-	"beaconcart/internal/platform"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/discovery"
+	"linkpass/internal/http1"
+	"linkpass/internal/link"
+	"linkpass/internal/peer"
+	"linkpass/internal/platform"
 )
 
 const (
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,10 +12,10 @@
 	"sync/atomic"
 	"time"
 
-	"beaconcart"
-	"beaconcart/internal/counters"
-	"beaconcart/internal/deadline"
-	"beaconcart/internal/end"
+	"linkpass"
+	"linkpass/internal/counters"
+	"linkpass/internal/deadline"
+	"linkpass/internal/end"
 )
 
 // Part is one part of a query, as its client named it.
@@ -76,7 +76,7 @@
 
 // AttemptID names one attempt.
 type AttemptID struct {
-	Part beaconcart.RequestID
+	Part linkpass.RequestID
 	No   int
 }
 
@@ -95,13 +95,13 @@
 
 // Member is one line of the server list.
 type Member struct {
-	beaconcart.Entry
+	linkpass.Entry
 	Name, Addr string
 }
 
 // List is news of the servers.
 type List struct {
-	Mode    beaconcart.ListMode
+	Mode    linkpass.ListMode
 	Members []Member
 }
 
@@ -111,9 +111,9 @@
 // Core.ProbeEnded.
 type Links interface {
 	List(List)
-	Call(beaconcart.ServerID, []Attempt) bool
-	Cancel(beaconcart.ServerID, AttemptID)
-	Probe(server beaconcart.ServerID, number uint64) bool
+	Call(linkpass.ServerID, []Attempt) bool
+	Cancel(linkpass.ServerID, AttemptID)
+	Probe(server linkpass.ServerID, number uint64) bool
 }
 
 // Result is how an attempt or a probe ended at a server.
@@ -127,7 +127,7 @@
 
 // Config sets up a Core.
 type Config struct {
-	Settings     beaconcart.Settings
+	Settings     linkpass.Settings
 	Seed         uint64
 	ProbeTimeout time.Duration
 	Counters     *counters.Set
@@ -136,8 +136,8 @@
 
 // Core is the actor round the module.
 type Core struct {
-	set     beaconcart.Settings
-	router  *beaconcart.Router
+	set     linkpass.Settings
+	router  *linkpass.Router
 	links   Links
 	count   *counters.Set
 	mailbox chan func()
@@ -147,12 +147,12 @@
 
 	// Owned by the goroutine of Run.
 	dues     deadline.Queue
-	events   []beaconcart.Event
+	events   []linkpass.Event
 	lastTurn time.Duration
-	lastID   beaconcart.RequestID
+	lastID   linkpass.RequestID
 	numbers  uint64
-	queries  map[beaconcart.RequestID]*query
-	parts    map[beaconcart.RequestID]*part
+	queries  map[linkpass.RequestID]*query
+	parts    map[linkpass.RequestID]*part
 	attempts map[AttemptID]*attempt
 	probes   map[uint64]*probe
 	calls    []call
@@ -161,7 +161,7 @@
 
 type query struct {
 	Query
-	id    beaconcart.RequestID
+	id    linkpass.RequestID
 	ends  time.Duration
 	parts []*part
 	due   *deadline.Entry
@@ -169,7 +169,7 @@
 
 type part struct {
 	Part
-	id       beaconcart.RequestID
+	id       linkpass.RequestID
 	query    *query
 	attempts int
 	in       bool
@@ -180,20 +180,20 @@
 type attempt struct {
 	id     AttemptID
 	part   *part
-	server beaconcart.ServerID
+	server linkpass.ServerID
 	sent   time.Duration
 	due    *deadline.Entry
 	over   atomic.Bool // told to the links, which may still hold it back from the wire
 }
 
 type probe struct {
-	server beaconcart.ServerID
+	server linkpass.ServerID
 	sent   time.Duration
 	due    *deadline.Entry
 }
 
 type call struct {
-	server   beaconcart.ServerID
+	server   linkpass.ServerID
 	attempts []Attempt
 }
 
@@ -203,7 +203,7 @@
 
 // New makes a core. Bind gives it its links before Run.
 func New(c Config) (*Core, error) {
-	router, err := beaconcart.New(c.Settings, c.Seed)
+	router, err := linkpass.New(c.Settings, c.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -216,7 +216,7 @@
 		set: c.Settings, router: router, count: c.Counters, probeTO: c.ProbeTimeout,
 		mailbox: make(chan func(), max(64, c.Mailbox)), done: make(chan struct{}),
 		epoch:   time.Now().Add(-originAge),
-		queries: map[beaconcart.RequestID]*query{}, parts: map[beaconcart.RequestID]*part{},
+		queries: map[linkpass.RequestID]*query{}, parts: map[linkpass.RequestID]*part{},
 		attempts: map[AttemptID]*attempt{}, probes: map[uint64]*probe{},
 	}, nil
 }
@@ -284,11 +284,11 @@
 	c.post(func() {
 		c.count.Add("list_updates", 1)
 		c.links.List(l)
-		entries := make([]beaconcart.Entry, len(l.Members))
+		entries := make([]linkpass.Entry, len(l.Members))
 		for i, m := range l.Members {
 			entries[i] = m.Entry
 		}
-		c.events = append(c.events, beaconcart.ListUpdate{Mode: l.Mode, Entries: entries})
+		c.events = append(c.events, linkpass.ListUpdate{Mode: l.Mode, Entries: entries})
 	})
 }
 
@@ -393,21 +393,21 @@
 	open := &query{Query: q, id: c.lastID, ends: q.Began + q.Timeout}
 	c.queries[open.id] = open
 	left := max(0, open.ends-now)
-	c.events = append(c.events, beaconcart.Arrival{ID: open.id, Shard: -1, Left: left, Class: q.Class,
+	c.events = append(c.events, linkpass.Arrival{ID: open.id, Shard: -1, Left: left, Class: q.Class,
 		Repeat: q.Repeat, Amount: float64(len(q.Parts)), Query: c.numbers})
 	for _, p := range q.Parts {
 		c.lastID++
 		mine := &part{Part: p, id: c.lastID, query: open}
 		open.parts = append(open.parts, mine)
 		c.parts[mine.id] = mine
-		c.events = append(c.events, beaconcart.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class,
+		c.events = append(c.events, linkpass.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class,
 			Repeat: q.Repeat, Cost: p.Hint, Key: p.Key, Amount: p.Weight, Query: c.numbers})
 	}
 	// Guards against a query that the module never ends: it fails when its time is over.
 	open.due = c.dues.Arm(open.ends+c.set.AnswerSlack, func() {
 		log.Printf("event=query_overdue query=%q class=%d", open.Name, open.Class)
 		c.count.Add("queries_overdue", 1)
-		c.events = append(c.events, beaconcart.ClientGone{ID: open.id})
+		c.events = append(c.events, linkpass.ClientGone{ID: open.id})
 		c.finish(open, Answer{Verdict: Failed, TimedOut: true})
 	})
 	return open
@@ -419,7 +419,7 @@
 		return
 	}
 	c.count.Add("clients_gone", 1)
-	c.events = append(c.events, beaconcart.ClientGone{ID: q.id})
+	c.events = append(c.events, linkpass.ClientGone{ID: q.id})
 	c.finish(q, Answer{Verdict: Failed})
 }
 
@@ -454,11 +454,11 @@
 }
 
 // act carries out one action of the module.
-func (c *Core) act(now time.Duration, action beaconcart.Action) {
+func (c *Core) act(now time.Duration, action linkpass.Action) {
 	switch a := action.(type) {
-	case beaconcart.Send:
+	case linkpass.Send:
 		c.send(now, a)
-	case beaconcart.Cancel:
+	case linkpass.Cancel:
 		id := AttemptID{a.ID, a.Attempt}
 		if at := c.attempts[id]; at != nil {
 			c.count.Add("attempts_cancelled", 1)
@@ -466,21 +466,21 @@
 			c.links.Cancel(at.server, id)
 			c.ended(id, Result{End: end.CalledOff, At: now})
 		}
-	case beaconcart.Refuse:
+	case linkpass.Refuse:
 		if q := c.queries[a.ID]; q != nil {
 			c.finish(q, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
 		}
-	case beaconcart.Fail:
+	case linkpass.Fail:
 		if q := c.queries[a.ID]; q != nil {
 			c.finish(q, Answer{Verdict: Failed})
 		}
-	case beaconcart.Answer:
+	case linkpass.Answer:
 		if q := c.queries[a.ID]; q != nil {
 			c.finish(q, Answer{Verdict: Answered, Whole: a.Whole})
 		}
-	case beaconcart.SetTimer:
-		c.dues.Arm(now+a.After, func() { c.events = append(c.events, beaconcart.Alarm{Token: a.Token}) })
-	case beaconcart.Probe:
+	case linkpass.SetTimer:
+		c.dues.Arm(now+a.After, func() { c.events = append(c.events, linkpass.Alarm{Token: a.Token}) })
+	case linkpass.Probe:
 		c.probe(now, a.Server)
 	}
 }
@@ -499,7 +499,7 @@
 }
 
 // send opens an attempt; those of one turn to one server share calls.
-func (c *Core) send(now time.Duration, a beaconcart.Send) {
+func (c *Core) send(now time.Duration, a linkpass.Send) {
 	p := c.parts[a.ID]
 	if p == nil {
 		c.count.Add("sends_stray", 1)
@@ -546,12 +546,12 @@
 	if r.End == end.Served && !p.in {
 		p.in, p.value = true, Value{Shard: p.Shard, Data: r.Value, Score: r.Score}
 	}
-	c.events = append(c.events, beaconcart.Outcome{ID: id.Part, Attempt: id.No, Server: at.server,
+	c.events = append(c.events, linkpass.Outcome{ID: id.Part, Attempt: id.No, Server: at.server,
 		Code: r.End.Code(), Took: max(0, r.At-at.sent), Final: p.in, Report: r.Report})
 }
 
 // probe sends a probe; it is lost when nothing has come within the time for it.
-func (c *Core) probe(now time.Duration, server beaconcart.ServerID) {
+func (c *Core) probe(now time.Duration, server linkpass.ServerID) {
 	c.count.Add("probes_sent", 1)
 	c.numbers++
 	number := c.numbers
@@ -571,6 +571,6 @@
 	delete(c.probes, number)
 	c.dues.Disarm(p.due)
 	c.count.Add("probes_"+r.End.String(), 1)
-	c.events = append(c.events, beaconcart.Probed{Server: p.server, Code: r.End.Code(),
+	c.events = append(c.events, linkpass.Probed{Server: p.server, Code: r.End.Code(),
 		Took: max(0, r.At-p.sent), Report: r.Report})
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,10 +14,10 @@
 	"slices"
 	"time"
 
-	"beaconcart"
-	"beaconcart/internal/coordinator"
-	"beaconcart/internal/counters"
-	"beaconcart/internal/http1"
+	"linkpass"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
 )
 
 const (
@@ -51,8 +51,8 @@
 	StartedMS int64   `json:"started_ms"`
 }
 
-var states = map[string]beaconcart.ServerState{
-	"in_service": beaconcart.Ready, "terminating": beaconcart.Draining, "terminated": beaconcart.Gone,
+var states = map[string]linkpass.ServerState{
+	"in_service": linkpass.Ready, "terminating": linkpass.Draining, "terminated": linkpass.Gone,
 }
 
 // Reader turns documents into lists.
@@ -74,19 +74,19 @@
 // List turns a document into news; one that names a server that can't be
 // understood is refused as a whole, as part of a list would mislead.
 func (r *Reader) List(d Document) (coordinator.List, error) {
-	out := coordinator.List{Mode: beaconcart.ListDelta}
+	out := coordinator.List{Mode: linkpass.ListDelta}
 	if d.Full {
-		out.Mode = beaconcart.ListFull
+		out.Mode = linkpass.ListFull
 	}
 	for _, s := range d.Servers {
 		state, ok := states[s.State]
 		if !ok || s.ID == "" || s.Cell < 0 || s.Cell >= r.Cells || math.IsNaN(s.Weight) || s.Weight < 0 {
 			return coordinator.List{}, fmt.Errorf("discovery: unusable server %q state %q cell %d", s.ID, s.State, s.Cell)
 		}
-		if _, err := net.ResolveTCPAddr("tcp", s.Addr); err != nil && state != beaconcart.Gone {
+		if _, err := net.ResolveTCPAddr("tcp", s.Addr); err != nil && state != linkpass.Gone {
 			return coordinator.List{}, fmt.Errorf("discovery: server %q: %w", s.ID, err)
 		}
-		out.Members = append(out.Members, coordinator.Member{Name: s.ID, Addr: s.Addr, Entry: beaconcart.Entry{
+		out.Members = append(out.Members, coordinator.Member{Name: s.ID, Addr: s.Addr, Entry: linkpass.Entry{
 			Server: ServerID(s.ID), Zone: max(0, slices.Index(r.Zones, s.Zone)),
 			Kind: max(0, slices.Index(r.Kinds, s.Kind)), Cell: s.Cell, State: state, Weight: s.Weight,
 			Since: r.Clock(s.StartedMS)}})
@@ -95,10 +95,10 @@
 }
 
 // ServerID is the module's number for a server's name: the same at every start.
-func ServerID(name string) beaconcart.ServerID {
+func ServerID(name string) linkpass.ServerID {
 	h := fnv.New64a()
 	h.Write([]byte(name))
-	return beaconcart.ServerID(h.Sum64())
+	return linkpass.ServerID(h.Sum64())
 }
 
 // Core takes the news and keeps the deadlines.
@@ -124,7 +124,7 @@
 	if list, err := w.Reader.List(known); err != nil {
 		w.bad(err)
 	} else {
-		list.Mode = beaconcart.ListCached
+		list.Mode = linkpass.ListCached
 		w.version = known.Version
 		w.Core.List(list)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -9,10 +9,10 @@
 
 	"pgregory.net/rapid"
 
-	"beaconcart"
-	"beaconcart/internal/coordinator"
-	"beaconcart/internal/counters"
-	"beaconcart/internal/http1"
+	"linkpass"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
 )
 
 type fakeCore struct{ lists chan coordinator.List }
@@ -75,7 +75,7 @@
 		defer close(done)
 		w.Run(ctx, Document{Version: 0, Full: true, Servers: []Server{{ID: "s-1", Addr: "127.0.0.1:9", State: "in_service"}}})
 	}()
-	if l := <-core.lists; l.Mode != beaconcart.ListCached || len(l.Members) != 1 {
+	if l := <-core.lists; l.Mode != linkpass.ListCached || len(l.Members) != 1 {
 		t.Fatalf("known list came as %+v", l)
 	}
 	next := func(want string) {
@@ -89,7 +89,7 @@
 	next("/registry/instances?after=0&wait_ms=")
 	answers <- `{"version":2,"full":false,"servers":[` + server + `]}`
 	l := <-core.lists
-	if m := l.Members[0]; l.Mode != beaconcart.ListDelta || m.Zone != 1 || m.Cell != 3 || m.Since != 7*time.Millisecond {
+	if m := l.Members[0]; l.Mode != linkpass.ListDelta || m.Zone != 1 || m.Cell != 3 || m.Since != 7*time.Millisecond {
 		t.Errorf("change came as %+v", l)
 	}
 	next("/registry/instances?after=2&wait_ms=")
--- a/internal/end/end.go
+++ b/internal/end/end.go
@@ -9,7 +9,7 @@
 	"os"
 	"syscall"
 
-	"beaconcart"
+	"linkpass"
 )
 
 // End is one way to end. Nothing else in the program says how a connection
@@ -56,24 +56,24 @@
 
 // Code is the module's outcome for an end. What the module may take as proof
 // that nothing ran must hold: an end after the last byte is never one of those.
-func (e End) Code() beaconcart.Code {
+func (e End) Code() linkpass.Code {
 	switch e {
 	case Served:
-		return beaconcart.OK
+		return linkpass.OK
 	case ServerError:
-		return beaconcart.Errored
+		return linkpass.Errored
 	case TurnedAway:
-		return beaconcart.Full
+		return linkpass.Full
 	case DialRefused, DialTimeout, DialFailed, CutInWrite, Crowded:
-		return beaconcart.ConnectFailed
+		return linkpass.ConnectFailed
 	case Silent:
-		return beaconcart.TimedOut
+		return linkpass.TimedOut
 	case CalledOff:
-		return beaconcart.Cancelled
+		return linkpass.Cancelled
 	case Withheld:
-		return beaconcart.Moot
+		return linkpass.Moot
 	default: // Broken, Closed, Garbled, Rejected
-		return beaconcart.Reset
+		return linkpass.Reset
 	}
 }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"beaconcart/internal/counters"
+	"linkpass/internal/counters"
 )
 
 // Handler answers requests. began is when the request's first byte was seen;
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,8 +6,8 @@
 	"log"
 	"time"
 
-	"beaconcart"
-	"beaconcart/internal/coordinator"
+	"linkpass"
+	"linkpass/internal/coordinator"
 )
 
 // Carrier is the actor that speaks with one server.
@@ -35,7 +35,7 @@
 // Close after that has ended.
 type Set struct {
 	protocols Protocols
-	members   map[beaconcart.ServerID]*member
+	members   map[linkpass.ServerID]*member
 	retired   []Carrier
 }
 
@@ -47,17 +47,17 @@
 
 // NewSet makes an empty set.
 func NewSet(p Protocols) *Set {
-	return &Set{protocols: p, members: map[beaconcart.ServerID]*member{}}
+	return &Set{protocols: p, members: map[linkpass.ServerID]*member{}}
 }
 
 // List follows the list of servers.
 func (s *Set) List(l coordinator.List) {
-	named := map[beaconcart.ServerID]bool{}
+	named := map[linkpass.ServerID]bool{}
 	for _, m := range l.Members {
 		named[m.Server] = true
 		s.follow(m)
 	}
-	if l.Mode == beaconcart.ListDelta {
+	if l.Mode == linkpass.ListDelta {
 		return
 	}
 	for id, m := range s.members {
@@ -69,7 +69,7 @@
 
 func (s *Set) follow(m coordinator.Member) {
 	old := s.members[m.Server]
-	if m.State == beaconcart.Gone {
+	if m.State == linkpass.Gone {
 		if old != nil {
 			s.leave(m.Server, old)
 		}
@@ -87,7 +87,7 @@
 	}
 	old.Member = m
 	s.speak(old)
-	old.carrier.Fit(m.State == beaconcart.Ready)
+	old.carrier.Fit(m.State == linkpass.Ready)
 }
 
 // speak sees to it that a member's carrier speaks the server's protocol of the
@@ -100,7 +100,7 @@
 	}
 	if m.carrier == nil {
 		m.protocol, m.carrier = protocol, s.protocols.Makers[protocol](m.Name, m.Addr)
-		m.carrier.Fit(m.State == beaconcart.Ready)
+		m.carrier.Fit(m.State == linkpass.Ready)
 	}
 }
 
@@ -110,13 +110,13 @@
 	m.carrier = nil
 }
 
-func (s *Set) leave(id beaconcart.ServerID, m *member) {
+func (s *Set) leave(id linkpass.ServerID, m *member) {
 	s.retire(m)
 	delete(s.members, id)
 }
 
 // Call hands on one call.
-func (s *Set) Call(id beaconcart.ServerID, list []coordinator.Attempt) bool {
+func (s *Set) Call(id linkpass.ServerID, list []coordinator.Attempt) bool {
 	m := s.members[id]
 	if m == nil {
 		return false
@@ -126,7 +126,7 @@
 }
 
 // Cancel gives an attempt up, whichever carrier has it.
-func (s *Set) Cancel(id beaconcart.ServerID, attempt coordinator.AttemptID) {
+func (s *Set) Cancel(id linkpass.ServerID, attempt coordinator.AttemptID) {
 	if m := s.members[id]; m != nil {
 		m.carrier.Cancel(attempt)
 	}
@@ -136,7 +136,7 @@
 }
 
 // Probe asks a server for a sign of life.
-func (s *Set) Probe(id beaconcart.ServerID, number uint64) bool {
+func (s *Set) Probe(id linkpass.ServerID, number uint64) bool {
 	m := s.members[id]
 	if m == nil {
 		return false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,10 +15,10 @@
 	"sync/atomic"
 	"time"
 
-	"beaconcart/internal/coordinator"
-	"beaconcart/internal/counters"
-	"beaconcart/internal/end"
-	"beaconcart/internal/frame"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/end"
+	"linkpass/internal/frame"
 )
 
 // Sink takes the ends of attempts and probes, and keeps the deadlines.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -13,9 +13,9 @@
 	"strings"
 	"time"
 
-	"beaconcart/internal/coordinator"
-	"beaconcart/internal/counters"
-	"beaconcart/internal/http1"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
 )
 
 // Core takes queries.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"beaconcart"
+	"linkpass"
 )
 
 // settingsReader reads path=value lines; the first thing amiss stays in err.
@@ -82,7 +82,7 @@
 }
 
 // ParseText reads the simulator's path=value lines.
-func ParseText(text string) (beaconcart.Settings, error) {
+func ParseText(text string) (linkpass.Settings, error) {
 	values := map[string]string{}
 	for line := range strings.Lines(text) {
 		line = strings.TrimRight(line, "\r\n")
@@ -91,7 +91,7 @@
 		}
 		path, value, ok := strings.Cut(line, "=")
 		if !ok {
-			return beaconcart.Settings{}, fmt.Errorf("settings: line without '=': %q", line)
+			return linkpass.Settings{}, fmt.Errorf("settings: line without '=': %q", line)
 		}
 		values[path] = value
 	}
@@ -100,10 +100,10 @@
 }
 
 // ParseJSON reads the platform's nested object.
-func ParseJSON(data []byte) (beaconcart.Settings, Host, error) {
+func ParseJSON(data []byte) (linkpass.Settings, Host, error) {
 	var tree map[string]any
 	if err := json.Unmarshal(data, &tree); err != nil {
-		return beaconcart.Settings{}, Host{}, fmt.Errorf("settings: %w", err)
+		return linkpass.Settings{}, Host{}, fmt.Errorf("settings: %w", err)
 	}
 	s := &settingsReader{values: map[string]string{}}
 	flatten(s.values, "", tree)
@@ -176,8 +176,8 @@
 
 // module reads the settings of the module. Unknown keys are skipped; a key that
 // is needed and missing is an error that names it.
-func (s *settingsReader) module() beaconcart.Settings {
-	out := beaconcart.Settings{
+func (s *settingsReader) module() linkpass.Settings {
+	out := linkpass.Settings{
 		Tick:           s.ms("tick"),
 		Peers:          int(s.needed("peers_total")),
 		Zone:           int(s.number("az")),
@@ -212,7 +212,7 @@
 	partial, fetch := s.list("extra.partial_earns", n, 0), s.list("extra.class_fetch", n, 0)
 	for i := range n {
 		at := fmt.Sprintf("request_classes.%d.", i)
-		c := beaconcart.Class{
+		c := linkpass.Class{
 			Aim:        Duration(s.needed(at + "aim")),
 			Deadline:   Duration(s.needed(at + "hard_limit")),
 			Window:     s.ms(at + "dedup_window"),
@@ -226,11 +226,11 @@
 		}
 		switch effect := s.values[at+"idempotency"]; effect {
 		case "free":
-			c.Effect = beaconcart.Safe
+			c.Effect = linkpass.Safe
 		case "guarded":
-			c.Effect = beaconcart.Keyed
+			c.Effect = linkpass.Keyed
 		case "single_shot":
-			c.Effect = beaconcart.Unsafe
+			c.Effect = linkpass.Unsafe
 		default:
 			s.fail(at+"idempotency", "unknown: %q", effect)
 		}
@@ -239,14 +239,14 @@
 	if s.values["tenants"] == "" {
 		for i := range int(s.number("tenants.count")) {
 			at := fmt.Sprintf("tenants.%d.", i)
-			out.Tenants = append(out.Tenants, beaconcart.Tenant{
+			out.Tenants = append(out.Tenants, linkpass.Tenant{
 				QuotaPerSecond: s.number(at + "quota_per_s"), Share: s.number(at + "share")})
 		}
 	}
-	fields := map[string]beaconcart.ReportField{
-		"active": beaconcart.FieldInflight, "waiting": beaconcart.FieldQueue,
-		"cpu": beaconcart.FieldUtil, "avg_ms": beaconcart.FieldServiceTime,
-		"rps": beaconcart.FieldRate, "err_rps": beaconcart.FieldErrorRate,
+	fields := map[string]linkpass.ReportField{
+		"active": linkpass.FieldInflight, "waiting": linkpass.FieldQueue,
+		"cpu": linkpass.FieldUtil, "avg_ms": linkpass.FieldServiceTime,
+		"rps": linkpass.FieldRate, "err_rps": linkpass.FieldErrorRate,
 	}
 	if text := s.values["report.fields"]; text != "" {
 		for _, name := range strings.Split(text, ",") {
--- a/router.go
+++ b/router.go
@@ -1,7 +1,7 @@
 // The interface of this package (settings, events, actions) is in api.go.
 // This file holds every decision and every tuned value of the router.
 
-package beaconcart
+package linkpass
 
 import (
 	"cmp"
--- a/router_test.go
+++ b/router_test.go
@@ -1,4 +1,4 @@
-package beaconcart
+package linkpass
 
 import (
 	"fmt"
