--- a/cmd/linkpass/config.go
+++ b/cmd/linkpass/config.go
@@ -4,12 +4,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"strconv"
 
+	"github.com/BurntSushi/toml"
+
 	"linkpass"
+	"linkpass/internal/catalog"
 	"linkpass/internal/discovery"
 	"linkpass/internal/settings"
+	"linkpass/internal/store"
 )
 
 // config is what the program is told at its start.
@@ -21,6 +26,38 @@
 	known                   discovery.Document
 	module                  linkpass.Settings
 	host                    settings.Host
+	search                  searchConfig
+}
+
+// searchConfig is the file of the search front.
+type searchConfig struct {
+	Listen string `toml:"listen"`
+	catalog.Catalog
+	Store store.Config `toml:"store"`
+}
+
+const defaultSearchFile = "deploy/opensearch.toml"
+
+// loadSearch reads the search front's file. Without the default one it is off.
+func loadSearch(path string) (searchConfig, error) {
+	var c searchConfig
+	meta, err := toml.DecodeFile(path, &c)
+	if errors.Is(err, fs.ErrNotExist) && path == defaultSearchFile {
+		return searchConfig{}, nil
+	}
+	if err != nil {
+		return c, fmt.Errorf("search front %s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return c, fmt.Errorf("search front %s: unknown key %s", path, unknown[0])
+	}
+	if err := c.Check(); err != nil {
+		return c, fmt.Errorf("search front %s: %w", path, err)
+	}
+	if c.Listen == "" && c.Store.ID != "" {
+		return c, fmt.Errorf("search front %s: a store needs the front's listen address", path)
+	}
+	return c, nil
 }
 
 // document is the platform's configuration file.
--- a/cmd/linkpass/main.go
+++ b/cmd/linkpass/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"log"
 	"os"
 	"os/signal"
@@ -12,7 +13,12 @@
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	searchFile := flag.String("opensearch", defaultSearchFile, "`file` that says where the search front listens")
+	flag.Parse()
 	cfg, err := load(os.Getenv)
+	if err == nil {
+		cfg.search, err = loadSearch(*searchFile)
+	}
 	if err != nil {
 		log.Fatalf("event=config_bad err=%q", err)
 	}
@@ -20,7 +26,11 @@
 	defer stop()
 	print := make(chan os.Signal, 1)
 	signal.Notify(print, syscall.SIGUSR1)
-	if err := run(term, print, cfg); err != nil {
+	p, err := start(cfg)
+	if err == nil {
+		err = p.serve(term, print)
+	}
+	if err != nil {
 		log.Fatalf("event=failed err=%q", err)
 	}
 }
--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -8,97 +8,190 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
+	"linkpass/internal/catalog"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
 	"linkpass/internal/discovery"
 	"linkpass/internal/frame"
 	"linkpass/internal/http1"
 	"linkpass/internal/link"
+	"linkpass/internal/opensearch"
 	"linkpass/internal/peer"
 	"linkpass/internal/platform"
+	"linkpass/internal/store"
 )
 
 const (
 	grace = 450 * time.Millisecond // after SIGTERM new connections still come
 
 	memoryShare    = 0.6 // of the limit is the collector's; the rest is for what it does not see
-	socketShare    = 0.4 // of the descriptors is for clients
+	socketShare    = 0.2 // of the descriptors is for the clients of each front
 	defaultSockets = 1024
-	plainProtocol  = "plain"
+	mailboxSize    = 1024
 )
 
-// run serves until the context ends, then finishes what was taken.
-func run(term context.Context, print <-chan os.Signal, cfg config) error {
-	if cfg.memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.memoryMB) * (1 << 20)))
-	}
-	runtime.GOMAXPROCS(max(1, int(cfg.cores)))
-	count := counters.New()
-	core, err := coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
-		ProbeTimeout: cfg.host.ConnectTimeout, Counters: count, Mailbox: 1024})
-	if err != nil {
-		return err
-	}
-	common := peer.Config{Sink: core, Counters: count,
-		ConnectTimeout: cfg.host.ConnectTimeout, Keepalive: cfg.host.Keepalive}
-	plain := frame.Dialect{MaxStreams: cfg.host.MaxStreams, ReportNames: cfg.host.ReportNames}
-	links := link.NewSet(link.Protocols{
-		Makers: map[string]link.Make{plainProtocol: func(name, addr string) link.Carrier {
-			return peer.New(common, plain, name, addr)
-		}},
-		Of: func(string) string { return plainProtocol },
-	})
-	core.Bind(links)
-
-	ln, err := net.Listen("tcp", cfg.listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	sockets := cfg.sockets
-	if sockets <= 0 {
-		sockets = defaultSockets
-	}
-	server := &http1.Server{Name: "platform", Clock: core, Counters: count,
-		MaxConns: int(socketShare * float64(sockets))}
-	front := &platform.Front{Core: core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: count,
-		Ready: func() bool { return !server.Draining() }}
-	server.Handler = front
+// program is what runs: the core, what it stands on, and its fronts.
+type program struct {
+	cfg     config
+	count   *counters.Set
+	core    *coordinator.Core
+	links   *link.Set
+	store   *store.Store // nil: off
+	fronts  []*http1.Server
+	lns     []net.Listener
+	current func() *catalog.Catalog
+}
 
+// serve serves until the context ends, then finishes what was taken.
+func (p *program) serve(term context.Context, print <-chan os.Signal) (err error) {
+	cfg := p.cfg
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	coreDone := make(chan struct{})
-	go func() { defer close(coreDone); core.Run(ctx) }()
-	watcher := &discovery.Watcher{Addr: cfg.discovery, Core: core, Counters: count,
-		Reader: &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds, Cells: cfg.module.Cells, Clock: core.Clock}}
+	go func() {
+		defer close(coreDone)
+		p.core.Run(ctx)
+	}()
+	watcher := &discovery.Watcher{Addr: cfg.discovery, Core: p.core, Counters: p.count,
+		Reader: &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds, Cells: cfg.module.Cells, Clock: p.core.Clock}}
 	all.Go(func() { watcher.Run(ctx, cfg.known) })
-	all.Go(func() {
-		if err := server.Serve(ln); err != nil {
-			log.Printf("event=front_failed front=platform err=%q", err)
-		}
-	})
-	log.Printf("event=started name=%s listen=%s discovery=%s servers=%d", cfg.name, ln.Addr(), cfg.discovery, len(cfg.known.Servers))
+	for i, front := range p.fronts {
+		all.Go(func() {
+			if err := front.Serve(p.lns[i]); err != nil {
+				log.Printf("event=front_failed front=%s err=%q", front.Name, err)
+			}
+		})
+		log.Printf("event=listening front=%s addr=%s", front.Name, p.lns[i].Addr())
+	}
+	log.Printf("event=started name=%s discovery=%s servers=%d", cfg.name, cfg.discovery, len(cfg.known.Servers))
 
 	for serving := true; serving; {
 		select {
 		case <-print:
-			count.Print("signal")
+			p.count.Print("signal")
 		case <-term.Done():
 			serving = false
 		}
 	}
-	log.Printf("event=stopping grace_ms=%d", grace.Milliseconds())
-	server.Drain()
-	time.Sleep(grace)
-	_ = ln.Close()
-	server.Stop()
+	p.stop()
 	cancel()
 	<-coreDone
-	links.Close()
+	p.links.Close()
 	all.Wait()
-	count.Print("exit")
+	if p.store != nil {
+		err = p.store.Close()
+	}
+	p.count.Print("exit")
 	log.Printf("event=stopped")
-	return nil
+	return err
+}
+
+// start sets everything up and takes the addresses to listen on.
+func start(cfg config) (p *program, err error) {
+	if cfg.memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.memoryMB) * (1 << 20)))
+	}
+	if cfg.cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(cfg.cores)))
+	}
+	if cfg.sockets <= 0 {
+		cfg.sockets = defaultSockets
+	}
+	p = &program{cfg: cfg, count: counters.New(), current: func() *catalog.Catalog { return &cfg.search.Catalog }}
+	p.core, err = coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
+		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Mailbox: mailboxSize})
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			for _, ln := range p.lns {
+				_ = ln.Close()
+			}
+		}
+	}()
+	thin := &platform.Front{Core: p.core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: p.count}
+	server, err := p.listen("platform", cfg.listen, thin)
+	if err != nil {
+		return nil, err
+	}
+	thin.Ready = func() bool { return !server.Draining() }
+	if cfg.search.Listen != "" {
+		if err := p.search(); err != nil {
+			return nil, err
+		}
+	}
+	p.links = link.NewSet(p.protocols())
+	p.core.Bind(p.links)
+	return p, nil
+}
+
+// listen sets up one front on an address.
+func (p *program) listen(name, addr string, h http1.Handler) (*http1.Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("front %s: %w", name, err)
+	}
+	server := &http1.Server{Name: name, Handler: h, Clock: p.core, Counters: p.count,
+		MaxConns: max(1, int(socketShare*float64(p.cfg.sockets)))}
+	p.lns, p.fronts = append(p.lns, ln), append(p.fronts, server)
+	return server, nil
+}
+
+// search sets up the search front, and the store where there is one.
+func (p *program) search() (err error) {
+	initial := &p.cfg.search.Catalog
+	answers := opensearch.FixedSettings(initial)
+	if p.cfg.search.Store.ID != "" {
+		c := p.cfg.search.Store
+		c.Initial = initial
+		if p.store, err = store.Open(c); err != nil {
+			return err
+		}
+		p.current, answers = p.store.Current, opensearch.StoreSettings(p.store)
+	}
+	front := &opensearch.Front{Core: p.core, Shards: p.cfg.module.Shards, Counters: p.count, Catalog: p.current,
+		Settings: answers, Prefix: strconv.FormatUint(p.cfg.seed, 16)}
+	for i, name := range p.cfg.host.Classes {
+		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline})
+	}
+	if _, err = p.listen("search", p.cfg.search.Listen, front); err != nil && p.store != nil {
+		_ = p.store.Close()
+	}
+	return err
+}
+
+// protocols tells how league servers are spoken to.
+func (p *program) protocols() link.Protocols {
+	common := peer.Config{Sink: p.core, Counters: p.count,
+		ConnectTimeout: p.cfg.host.ConnectTimeout, Keepalive: p.cfg.host.Keepalive}
+	maker := func(d peer.Dialect) link.Make {
+		return func(name, addr string) link.Carrier { return peer.New(common, d, name, addr) }
+	}
+	return link.Protocols{
+		Makers: map[string]link.Make{
+			catalog.Plain:  maker(frame.Dialect{MaxStreams: p.cfg.host.MaxStreams, ReportNames: p.cfg.host.ReportNames}),
+			catalog.Search: maker(opensearch.Dialect{ReportNames: p.cfg.host.ReportNames}),
+		},
+		Of: func(server string) string { return p.current().Protocol(server) },
+	}
+}
+
+// stop goes on accepting for the grace, then finishes what was taken.
+func (p *program) stop() {
+	log.Printf("event=stopping grace_ms=%d", grace.Milliseconds())
+	for _, front := range p.fronts {
+		front.Drain()
+	}
+	time.Sleep(grace)
+	for _, ln := range p.lns {
+		_ = ln.Close()
+	}
+	for _, front := range p.fronts {
+		front.Stop()
+	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -69,9 +69,9 @@
 
 // Hit is one of them.
 type Hit struct {
-	Collection, ID string
-	Score          float64
-	Source         []byte
+	ID     string
+	Score  float64
+	Source []byte
 }
 
 // Miss tells what became of a part that is not in.
@@ -176,7 +176,6 @@
 	attempts map[AttemptID]*attempt
 	probes   map[uint64]*probe
 	calls    []call
-	idle     []chan struct{} // told when no query is open
 }
 
 type query struct {
@@ -318,15 +317,6 @@
 // ProbeEnded says how a probe ended.
 func (c *Core) ProbeEnded(number uint64, r Result) { c.post(func() { c.probeEnded(number, r) }) }
 
-// Idle is closed once no query is open.
-func (c *Core) Idle() <-chan struct{} {
-	idle := make(chan struct{})
-	if !c.post(func() { c.idle = append(c.idle, idle) }) {
-		close(idle)
-	}
-	return idle
-}
-
 // Run takes turns until the context ends. What is open then is failed.
 func (c *Core) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -368,7 +358,7 @@
 // hand, the next turn, and never shorter than the gap between turns.
 func (c *Core) wake(now time.Duration) time.Duration {
 	next, armed := c.dues.Next()
-	if len(c.events) > 0 || len(c.idle) > 0 && len(c.queries) == 0 {
+	if len(c.events) > 0 {
 		next, armed = now, true
 	}
 	if !armed {
@@ -396,12 +386,6 @@
 			}
 		}
 	}
-	if len(c.queries) == 0 {
-		for _, idle := range c.idle {
-			close(idle)
-		}
-		c.idle = nil
-	}
 }
 
 // take opens a query: it and its parts go to the module in one turn.
--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,199 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"linkpass"
+	"linkpass/internal/counters"
+	"linkpass/internal/end"
+)
+
+// links is a stand-in for the way to servers: what it takes waits for the test.
+type links struct {
+	mu      sync.Mutex
+	core    *Core
+	calls   [][]Attempt
+	servers []linkpass.ServerID
+	cancels []AttemptID
+	full    bool
+	mute    bool // probes stay without an answer
+}
+
+func (l *links) List(List) {}
+func (l *links) Call(s linkpass.ServerID, list []Attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls, l.servers = append(l.calls, list), append(l.servers, s)
+	return !l.full
+}
+func (l *links) Cancel(_ linkpass.ServerID, id AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancels = append(l.cancels, id)
+}
+func (l *links) Probe(_ linkpass.ServerID, n uint64) bool {
+	if !l.mute {
+		go l.core.ProbeEnded(n, Result{End: end.Served, At: l.core.Now(), Report: []float64{0}})
+	}
+	return true
+}
+func (l *links) Forget(linkpass.ServerID, uint64) {}
+
+// taken is what has been called so far.
+func (l *links) taken() (out []Attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.calls {
+		out = append(out, c...)
+	}
+	return out
+}
+
+func (l *links) answer(list []Attempt, e end.End) {
+	for _, a := range list {
+		l.core.Ended(a.ID, Result{End: e, At: l.core.Now(), Value: []byte("v")})
+	}
+}
+
+// bench runs a core in a bubble of its own time.
+func bench(t *testing.T, f func(*links, func(time.Duration, ...Part) (*[]Answer, func()))) {
+	synctest.Test(t, func(t *testing.T) {
+		set := linkpass.Settings{Tick: 5 * time.Millisecond, Peers: 1, Shards: 4, Cells: 2, Reach: 1, Probes: true,
+			Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3, CallParts: 1,
+			ReportFields: []linkpass.ReportField{linkpass.FieldInflight}, AnswerSlack: 20 * time.Millisecond,
+			Classes: []linkpass.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+		core, err := New(Config{Settings: set, Seed: 7, ProbeTimeout: 250 * time.Millisecond, Counters: counters.New()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := &links{core: core}
+		core.Bind(l)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); core.Run(ctx) }()
+		var members []Member
+		for i := range 4 {
+			members = append(members, Member{Entry: linkpass.Entry{Server: linkpass.ServerID(i), Cell: i % 2, State: linkpass.Ready}})
+		}
+		core.List(List{Mode: linkpass.ListFull, Members: members})
+		f(l, func(timeout time.Duration, parts ...Part) (*[]Answer, func()) {
+			answers := new([]Answer)
+			leave := core.Submit(Query{Name: "q", Began: core.Now(), Timeout: timeout, Parts: parts,
+				Reply: func(a Answer) { *answers = append(*answers, a) }})
+			return answers, leave
+		})
+		cancel()
+		<-done
+	})
+}
+
+func settle(d time.Duration) { time.Sleep(d); synctest.Wait() }
+
+var two = []Part{{Shard: 0, Weight: 0.5, Text: []byte("x")}, {Shard: 1, Weight: 0.5, Text: []byte("x")}}
+
+func one(t *testing.T, answers *[]Answer, want Verdict) Answer {
+	t.Helper()
+	if len(*answers) != 1 || (*answers)[0].Verdict != want {
+		t.Fatalf("answers %+v, want one of verdict %d", *answers, want)
+	}
+	return (*answers)[0]
+}
+
+func TestWholeAnswer(t *testing.T) {
+	bench(t, func(l *links, ask func(time.Duration, ...Part) (*[]Answer, func())) {
+		answers, leave := ask(2*time.Second, two...)
+		settle(50 * time.Millisecond)
+		list := l.taken()
+		if len(list) != 2 {
+			t.Fatalf("calls %+v", list)
+		}
+		l.answer(list, end.Served)
+		l.answer(list, end.Served) // a second end of one attempt is dropped
+		settle(50 * time.Millisecond)
+		if a := one(t, answers, Answered); !a.Whole || len(a.Values) != 2 || len(a.Missing) != 0 {
+			t.Errorf("%+v", a)
+		}
+		leave()
+		settle(3 * time.Second)
+		one(t, answers, Answered)
+	})
+}
+
+// A query whose parts stay silent still gets its one answer before the client's time is over.
+func TestSilenceEndsInOneAnswerInTime(t *testing.T) {
+	for _, mute := range []bool{false, true} {
+		bench(t, func(l *links, ask func(time.Duration, ...Part) (*[]Answer, func())) {
+			l.mute = mute
+			answers, _ := ask(400*time.Millisecond, two...)
+			settle(401 * time.Millisecond)
+			if a := one(t, answers, Failed); !a.TimedOut || len(a.Missing) != 2 {
+				t.Errorf("%+v", a)
+			}
+			settle(3 * time.Second)
+			one(t, answers, Failed)
+		})
+	}
+}
+
+// What the module has given up on is answered in the same turn, with its advice,
+// and not held until the client's time is nearly over.
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	bench(t, func(l *links, ask func(time.Duration, ...Part) (*[]Answer, func())) {
+		l.full = true // each attempt ends as one that never ran
+		answers, _ := ask(2*time.Second, two...)
+		settle(1100 * time.Millisecond)
+		if a := one(t, answers, Refused); a.RetryAfter <= 0 || a.TimedOut {
+			t.Errorf("%+v", a)
+		}
+		tries := map[AttemptID]bool{}
+		for _, a := range l.taken() {
+			tries[a.ID] = true
+			if a.ID.No >= 3 {
+				t.Errorf("attempt %d of a part", a.ID.No+1)
+			}
+		}
+		if len(tries) != len(l.taken()) {
+			t.Error("an attempt was called twice")
+		}
+	})
+}
+
+func TestClientGoneCallsBackWhatIsOut(t *testing.T) {
+	bench(t, func(l *links, ask func(time.Duration, ...Part) (*[]Answer, func())) {
+		answers, leave := ask(2*time.Second, two...)
+		settle(50 * time.Millisecond)
+		leave()
+		settle(20 * time.Millisecond)
+		one(t, answers, Failed)
+		list := l.taken()
+		if len(l.cancels) != len(list) || !list[0].Dead() {
+			t.Errorf("%d attempts out, %d called back", len(list), len(l.cancels))
+		}
+		l.answer(list, end.Served) // comes too late
+		settle(50 * time.Millisecond)
+		one(t, answers, Failed)
+	})
+}
+
+func TestClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, err := New(Config{Settings: linkpass.Settings{Peers: 1, Shards: 1, Cells: 1, Reach: 1,
+			Classes: []linkpass.Class{{Aim: 1, Deadline: 1, Need: 1}}}, Counters: counters.New()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		// A server that started before this coordinator must not pass for one started long
+		// ago: it may be cold still.
+		if got := core.Clock(now.Add(-5 * time.Second).UnixMilli()); got != core.Now()-5*time.Second {
+			t.Errorf("five seconds ago is %v at %v", got, core.Now())
+		}
+		if core.Clock(0) != 0 || core.Clock(now.Add(-100*time.Hour).UnixMilli()) != 0 {
+			t.Error("long ago is not 0")
+		}
+	})
+}
--- /dev/null
+++ b/internal/deadline/deadline_test.go
@@ -0,0 +1,66 @@
+package deadline
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "linkpass/internal/seeded"
+)
+
+// Whatever is armed and disarmed, a sweep fires what is due and nothing else, in
+// order of time.
+func TestSweepFiresWhatIsDue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue
+		var fired []time.Duration
+		open := map[*Entry]time.Duration{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				at := now + time.Duration(rapid.IntRange(-3, 20).Draw(t, "at"))
+				open[q.Arm(at, func() { fired = append(fired, at) })] = at
+			case 2:
+				for e := range open {
+					q.Disarm(e)
+					q.Disarm(e) // a second time does nothing
+					delete(open, e)
+					break
+				}
+			case 3:
+				now += time.Duration(rapid.IntRange(0, 10).Draw(t, "pass"))
+				var want []time.Duration
+				for e, at := range open {
+					if at <= now {
+						want = append(want, at)
+						delete(open, e)
+					}
+				}
+				slices.Sort(want)
+				fired = nil
+				if n := q.Sweep(now); n != len(want) || !slices.Equal(fired, want) {
+					t.Fatalf("at %d fired %v, want %v", now, fired, want)
+				}
+			}
+			if q.Len() != len(open) {
+				t.Fatalf("%d armed, want %d", q.Len(), len(open))
+			}
+		}
+	})
+}
+
+// What a sweep arms and is already due must not wait for another turn.
+func TestSweepFiresWhatItArms(t *testing.T) {
+	var q Queue
+	n := 0
+	q.Arm(1, func() { q.Arm(1, func() { n++ }) })
+	if q.Sweep(1); n != 1 {
+		t.Errorf("fired %d", n)
+	}
+	if _, ok := q.Next(); ok {
+		t.Error("something is left")
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -9,6 +9,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "linkpass/internal/seeded"
+
 	"linkpass"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -277,7 +277,7 @@
 	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
 	409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
-	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+	307: "Temporary Redirect", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }
 
 // WriteResponse writes a response in one piece.
--- /dev/null
+++ b/internal/opensearch/dialect.go
@@ -0,0 +1,148 @@
+package opensearch
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/textproto"
+	"net/url"
+
+	"linkpass/internal/coordinator"
+	"linkpass/internal/end"
+	"linkpass/internal/http1"
+	"linkpass/internal/peer"
+	"linkpass/internal/report"
+)
+
+// Dialect speaks searches to a league server: each part is a search of one
+// shard, on a connection that carries one at a time.
+type Dialect struct {
+	ReportNames []string // names of a report's values, in the header X-Server-Load
+}
+
+const (
+	maxConns = 16      // to one server: one descriptor each
+	maxReply = 1 << 20 // bytes of a server's answer
+	host     = "league-server"
+)
+
+// Room is one part a connection.
+func (d Dialect) Room() peer.Room { return peer.Room{Streams: 1, Conns: maxConns, Exclusive: true} }
+
+// Call words one part as a search.
+func (d Dialect) Call(parts []peer.Part) []byte {
+	var b bytes.Buffer
+	for _, p := range parts {
+		path := "/_search"
+		if p.Collection != "" {
+			path = "/" + url.PathEscape(p.Collection) + path
+		}
+		path += fmt.Sprintf("?preference=_shards:%d&timeout=%dms", p.Shard, max(1, p.Wait.Milliseconds()))
+		header := textproto.MIMEHeader{"Content-Type": {"application/json"}, "X-Opaque-Id": {p.Name}}
+		// Writes to a buffer do not fail.
+		_ = http1.WriteRequest(&b, "POST", path, host, header, searchOf(p.Text))
+	}
+	return b.Bytes()
+}
+
+// searchOf is a part's text where that is a search's body already, as the
+// search front makes it; the platform's text is looked for as it stands.
+func searchOf(text []byte) []byte {
+	var body struct {
+		Query json.RawMessage `json:"query"`
+	}
+	if json.Unmarshal(text, &body) == nil && len(body.Query) > 0 {
+		return text
+	}
+	out, err := json.Marshal(map[string]any{"query": map[string]any{"query_string": map[string]any{"query": string(text)}}})
+	if err != nil { // a string always encodes
+		return nil
+	}
+	return out
+}
+
+// GiveUp has no words: an exclusive connection is closed.
+func (d Dialect) GiveUp(string) []byte { return nil }
+
+// Probe asks for the server's greeting.
+func (d Dialect) Probe() []byte {
+	var b bytes.Buffer
+	_ = http1.WriteRequest(&b, "GET", "/", host, nil, nil)
+	return b.Bytes()
+}
+
+// Reader reads a server's answers.
+func (d Dialect) Reader(r io.Reader) peer.Reader {
+	return &dialectReader{d, http1.NewReader(r, maxReply)}
+}
+
+type dialectReader struct {
+	Dialect
+	*http1.Reader
+}
+
+// serverResult is what a server answers to a search.
+type serverResult struct {
+	TimedOut bool `json:"timed_out"`
+	Shards   *struct {
+		Total      int `json:"total"`
+		Successful int `json:"successful"`
+		Failed     int `json:"failed"`
+	} `json:"_shards"`
+	Hits *struct {
+		Total total `json:"total"`
+		Hits  []struct {
+			ID     string          `json:"_id"`
+			Score  *float64        `json:"_score"`
+			Source json.RawMessage `json:"_source"`
+		} `json:"hits"`
+	} `json:"hits"`
+}
+
+// Next reads one answer. An answer that is not whole is an error of the server's:
+// a part of a part is never taken for the part.
+func (r *dialectReader) Next() (peer.Message, end.End, error) {
+	res, err := r.Response()
+	if err != nil {
+		return peer.Message{}, end.OfRead(err, false), err
+	}
+	m := peer.Message{End: end.ServerError, Last: res.Close, Report: report.Parse(res.Header.Get("X-Server-Load"), r.ReportNames)}
+	switch {
+	case res.Status == 429:
+		m.End = end.TurnedAway
+		return m, 0, nil
+	case res.Status != 200:
+		return m, 0, nil
+	}
+	m.End, m.Value = end.Served, res.Body
+	var s serverResult
+	if err := json.Unmarshal(res.Body, &s); err != nil {
+		return m, end.Garbled, fmt.Errorf("opensearch: answer: %w", err)
+	}
+	if s.Hits == nil && s.Shards == nil {
+		m.Probe = true // a greeting, which is no answer to a part
+		return m, 0, nil
+	}
+	if s.Hits == nil || s.Shards == nil || s.Hits.Total.Value < 0 {
+		return m, end.Garbled, errors.New("opensearch: answer without hits or counts")
+	}
+	if s.TimedOut || s.Shards.Failed > 0 || s.Shards.Successful < s.Shards.Total {
+		m.End, m.Value = end.ServerError, nil
+		return m, 0, nil
+	}
+	m.Hits = &coordinator.Hits{Total: s.Hits.Total.Value, AtLeast: s.Hits.Total.Relation == "gte"}
+	for _, h := range s.Hits.Hits {
+		score := 0.0
+		if h.Score != nil && !math.IsInf(*h.Score, 0) {
+			score = *h.Score
+		}
+		m.Hits.List = append(m.Hits.List, coordinator.Hit{ID: h.ID, Score: score, Source: h.Source})
+	}
+	if len(m.Hits.List) > 0 {
+		m.Score = m.Hits.List[0].Score
+	}
+	return m, 0, nil
+}
--- /dev/null
+++ b/internal/opensearch/front.go
@@ -0,0 +1,250 @@
+// Package opensearch is the second front and the second way to league servers:
+// searches in OpenSearch's terms. It decides nothing; every search goes through
+// the same core as the platform's queries.
+package opensearch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
+)
+
+// Core takes queries and tells the time.
+type Core interface {
+	Submit(coordinator.Query) (leave func())
+	Now() time.Duration
+}
+
+// Class is what the front needs of a class.
+type Class struct {
+	Name     string
+	Deadline time.Duration
+}
+
+// Front answers searches.
+type Front struct {
+	Core     Core
+	Classes  []Class
+	Shards   int
+	Catalog  func() *catalog.Catalog
+	Settings http1.Handler // of /_cluster/settings
+	Prefix   string        // makes this instance's names of searches its own
+	Counters *counters.Set
+
+	searches atomic.Uint64
+}
+
+type shards struct {
+	Total      int       `json:"total"`
+	Successful int       `json:"successful"`
+	Skipped    int       `json:"skipped"`
+	Failed     int       `json:"failed"`
+	Failures   []failure `json:"failures,omitempty"`
+}
+
+type total struct {
+	Value    int64  `json:"value"`
+	Relation string `json:"relation"`
+}
+
+type hit struct {
+	Index  string          `json:"_index"`
+	ID     string          `json:"_id"`
+	Score  *float64        `json:"_score"`
+	Source json.RawMessage `json:"_source,omitempty"`
+}
+
+type hits struct {
+	Total    total    `json:"total"`
+	MaxScore *float64 `json:"max_score"`
+	Hits     []hit    `json:"hits"`
+}
+
+type result struct {
+	Took     int64  `json:"took"`
+	TimedOut bool   `json:"timed_out"`
+	Shards   shards `json:"_shards"`
+	Hits     hits   `json:"hits"`
+}
+
+// Serve answers one request.
+func (f *Front) Serve(ctx context.Context, began time.Duration, req *http1.Request) *http1.Response {
+	steps := strings.Split(strings.TrimPrefix(req.Path, "/"), "/")
+	switch {
+	case req.Path == "/_cluster/settings":
+		return f.Settings.Serve(ctx, began, req)
+	case len(steps) == 2 && steps[1] == "_search":
+		if req.Method != "POST" && req.Method != "GET" {
+			return errorResponse(&cause{Type: "illegal_argument_exception", Status: 405,
+				Reason: fmt.Sprintf("Incorrect HTTP method for uri [%s] and method [%s], allowed: [POST, GET]", req.Path, req.Method)})
+		}
+		return f.search(ctx, began, steps[0], req)
+	}
+	return f.reject(badRequest("illegal_argument_exception", fmt.Sprintf("no handler found for uri [%.200s] and method [%s]", req.Path, req.Method)))
+}
+
+func (f *Front) reject(c *cause) *http1.Response {
+	f.Counters.Add("search_rejected", 1)
+	log.Printf("event=search_rejected status=%d type=%s reason=%q", c.Status, c.Type, c.Reason)
+	return errorResponse(c)
+}
+
+// plan reads a search and finds its class and slices. Nothing is sent unless
+// all of it is known.
+func (f *Front) plan(index string, req *http1.Request) (search, *cause) {
+	settings := f.Catalog()
+	where, ok := settings.Indices[index]
+	if !ok {
+		return search{}, &cause{Type: "index_not_found_exception", Reason: fmt.Sprintf("no such index [%.255s]", index), Index: index, Status: 404}
+	}
+	s, preferred, err := parseSearch(req.Query, req.Body, settings)
+	if err != nil {
+		if c, ok := err.(*cause); ok {
+			return s, c
+		}
+		return s, badRequest("illegal_argument_exception", err.Error())
+	}
+	s.index, s.slices = index, where.Slices
+	if preferred != nil {
+		s.slices = preferred
+	}
+	for _, slice := range s.slices {
+		if !slices.Contains(where.Slices, slice) || slice >= f.Shards {
+			return s, &cause{Type: "shard_not_found_exception", Reason: fmt.Sprintf("no such shard [%d] in index [%s]", slice, index), Index: index, Status: 404}
+		}
+	}
+	s.class = slices.IndexFunc(f.Classes, func(c Class) bool { return c.Name == where.Class })
+	if s.class < 0 {
+		return s, &cause{Type: "illegal_state_exception", Reason: fmt.Sprintf("index [%s] is of class [%s], which is not served here", index, where.Class), Index: index, Status: 500}
+	}
+	if limit := f.Classes[s.class].Deadline; s.timeout <= 0 || s.timeout > limit {
+		s.timeout = limit
+	}
+	return s, nil
+}
+
+// search puts one search through the core.
+func (f *Front) search(ctx context.Context, began time.Duration, index string, req *http1.Request) *http1.Response {
+	s, refusal := f.plan(index, req)
+	if refusal != nil {
+		return f.reject(refusal)
+	}
+	text, err := json.Marshal(map[string]any{"query": s.query, "from": 0, "size": s.from + s.size})
+	if err != nil {
+		return f.reject(badRequest("json_parse_exception", err.Error()))
+	}
+	parts := make([]coordinator.Part, len(s.slices))
+	for i, slice := range s.slices {
+		parts[i] = coordinator.Part{Shard: slice, Weight: 1 / float64(len(s.slices)), Text: text}
+	}
+	done := make(chan coordinator.Answer, 1)
+	leave := f.Core.Submit(coordinator.Query{
+		Name: f.Prefix + "-" + strconv.FormatUint(f.searches.Add(1), 10), Collection: index, Class: s.class,
+		Began: began, Timeout: s.timeout, Parts: parts, Reply: func(a coordinator.Answer) { done <- a },
+	})
+	var a coordinator.Answer
+	select {
+	case a = <-done:
+	case <-ctx.Done():
+		leave()
+		a = <-done
+	}
+	return f.response(s, a, (f.Core.Now() - began).Milliseconds())
+}
+
+// response words the core's answer. What is missing is always told.
+func (f *Front) response(s search, a coordinator.Answer, took int64) *http1.Response {
+	counts := shards{Total: len(s.slices), Successful: len(a.Values), Failed: len(s.slices) - len(a.Values)}
+	for _, m := range a.Missing {
+		counts.Failures = append(counts.Failures, failure{Shard: m.Shard, Index: s.index, Reason: reasonOf(m.Last, m.Tried)})
+	}
+	if a.Verdict == coordinator.Answered && (a.Whole || s.allowPartial) {
+		return jsonResponse(200, result{Took: took, TimedOut: a.TimedOut && !a.Whole, Shards: counts, Hits: s.merge(a.Values)})
+	}
+	c := &cause{Type: "search_phase_execution_exception", Reason: "all shards failed", Phase: "query", Grouped: true,
+		FailedShards: counts.Failures, Status: 503}
+	switch {
+	case a.Verdict == coordinator.Refused:
+		c.Type, c.Reason, c.Status = "rejected_execution_exception", "the search was refused for want of room; asking again is harmless", 429
+	case a.TimedOut:
+		c.Reason, c.Status = "the search's time is over", 504
+	case a.Verdict == coordinator.Answered:
+		c.Reason = "Partial shards failure"
+	}
+	res := begunError(c, &took, &a.TimedOut, &counts)
+	if a.Verdict == coordinator.Refused && a.RetryAfter > 0 {
+		res.Header["Retry-After"] = []string{strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}
+	}
+	return res
+}
+
+// merge brings the hits of all slices into one list, best first; a plain value
+// counts as one hit with the score that its server gave.
+func (s *search) merge(values []coordinator.Value) hits {
+	out := hits{Total: total{Relation: "eq"}, Hits: []hit{}}
+	all := []hit{}
+	for _, v := range values {
+		if v.Hits == nil {
+			score := v.Score
+			source, err := json.Marshal(map[string]any{"slice": v.Shard, "data": string(v.Data)})
+			if err != nil { // a number and a string always encode
+				continue
+			}
+			all = append(all, hit{Index: s.index, ID: strconv.Itoa(v.Shard), Score: &score, Source: source})
+			out.Total.Value++
+			continue
+		}
+		out.Total.Value += v.Hits.Total
+		if v.Hits.AtLeast {
+			out.Total.Relation = "gte"
+		}
+		for _, h := range v.Hits.List {
+			score := h.Score
+			all = append(all, hit{Index: s.index, ID: h.ID, Score: &score, Source: h.Source})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b hit) int {
+		switch {
+		case *a.Score > *b.Score:
+			return -1
+		case *a.Score < *b.Score:
+			return 1
+		}
+		return 0
+	})
+	if len(all) > 0 {
+		out.MaxScore = all[0].Score
+	}
+	from := min(s.from, len(all))
+	out.Hits = all[from:min(from+s.size, len(all))]
+	return out
+}
+
+// FixedSettings answers for settings that come from the file and stay as they are.
+func FixedSettings(c *catalog.Catalog) http1.Handler {
+	return http1.HandlerFunc(func(_ context.Context, _ time.Duration, req *http1.Request) *http1.Response {
+		if req.Method != "GET" {
+			return errorResponse(badRequest("illegal_argument_exception", "the store is off: settings come from the file and stay as they are"))
+		}
+		return settingsResponse(c, false)
+	})
+}
+
+func settingsResponse(c *catalog.Catalog, changed bool) *http1.Response {
+	out := map[string]any{"persistent": c, "transient": struct{}{}}
+	if changed {
+		out["acknowledged"] = true
+	}
+	return jsonResponse(200, out)
+}
--- /dev/null
+++ b/internal/opensearch/query.go
@@ -0,0 +1,217 @@
+package opensearch
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"linkpass/internal/catalog"
+)
+
+// search is one search as its client asked for it.
+type search struct {
+	index        string
+	class        int
+	slices       []int
+	query        json.RawMessage
+	from, size   int
+	timeout      time.Duration // 0: that of the class
+	allowPartial bool
+}
+
+// searchBody is what a search's body may hold. Anything else is refused, never
+// ignored: an answer to another question would be no answer.
+type searchBody struct {
+	Query   json.RawMessage `json:"query"`
+	From    *int            `json:"from"`
+	Size    *int            `json:"size"`
+	Timeout *string         `json:"timeout"`
+}
+
+const (
+	defaultSize = 10
+	maxDepth    = 16 // of nested bool queries
+)
+
+// parseSearch reads a search of an index; its slices and class are looked up
+// by the front.
+func parseSearch(params string, data []byte, settings *catalog.Catalog) (s search, preferred []int, err error) {
+	s = search{query: json.RawMessage(`{"match_all":{}}`), size: defaultSize,
+		timeout: settings.Timeout(), allowPartial: settings.AllowPartial()}
+	if len(bytes.TrimSpace(data)) > 0 {
+		if err := s.readBody(data); err != nil {
+			return s, nil, err
+		}
+	}
+	if preferred, err = s.readParams(params); err != nil {
+		return s, nil, err
+	}
+	switch {
+	case s.from < 0:
+		return s, nil, badRequest("illegal_argument_exception", "[from] parameter cannot be negative")
+	case s.size < 0:
+		return s, nil, badRequest("illegal_argument_exception", "[size] parameter cannot be negative")
+	case s.from > settings.Window() || s.size > settings.Window()-s.from:
+		return s, nil, badRequest("illegal_argument_exception", fmt.Sprintf(
+			"Result window is too large, from + size must be less than or equal to: [%d]", settings.Window()))
+	}
+	return s, preferred, nil
+}
+
+func (s *search) readBody(data []byte) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	var b searchBody
+	if err := d.Decode(&b); err != nil {
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+			return badRequest("json_parse_exception", err.Error())
+		}
+		return badRequest("parsing_exception", err.Error())
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return badRequest("json_parse_exception", "something follows the search")
+	}
+	if b.Query != nil {
+		if err := checkQuery(b.Query, 0); err != nil {
+			return err
+		}
+		var compact bytes.Buffer
+		if err := json.Compact(&compact, b.Query); err != nil {
+			return badRequest("json_parse_exception", err.Error())
+		}
+		s.query = compact.Bytes()
+	}
+	if b.From != nil {
+		s.from = *b.From
+	}
+	if b.Size != nil {
+		s.size = *b.Size
+	}
+	if b.Timeout != nil {
+		return s.readTimeout(*b.Timeout)
+	}
+	return nil
+}
+
+func (s *search) readTimeout(text string) error {
+	d, err := catalog.ParseTime(text)
+	if err != nil {
+		return badRequest("illegal_argument_exception", err.Error())
+	}
+	s.timeout = d
+	return nil
+}
+
+// readParams reads the parameters of the URL, which go before the body's.
+func (s *search) readParams(params string) (preferred []int, err error) {
+	values, err := url.ParseQuery(params)
+	if err != nil {
+		return nil, badRequest("illegal_argument_exception", err.Error())
+	}
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		text := values.Get(name)
+		switch name {
+		case "from", "size":
+			n, err := strconv.Atoi(text)
+			if err != nil {
+				return nil, badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse int parameter [%s] with value [%.40s]", name, text))
+			}
+			if name == "from" {
+				s.from = n
+			} else {
+				s.size = n
+			}
+		case "timeout":
+			if err := s.readTimeout(text); err != nil {
+				return nil, err
+			}
+		case "allow_partial_search_results":
+			allow, err := strconv.ParseBool(text)
+			if err != nil {
+				return nil, badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse value [%.40s] as only [true] or [false] are allowed.", text))
+			}
+			s.allowPartial = allow
+		case "preference":
+			list, ok := strings.CutPrefix(text, "_shards:")
+			if !ok {
+				return nil, badRequest("illegal_argument_exception", fmt.Sprintf("preference [%.40s] is not supported", text))
+			}
+			for item := range strings.SplitSeq(list, ",") {
+				n, err := strconv.Atoi(item)
+				if err != nil || n < 0 || slices.Contains(preferred, n) {
+					return nil, badRequest("illegal_argument_exception", fmt.Sprintf("preference names no shard or one twice: [%.40s]", item))
+				}
+				preferred = append(preferred, n)
+			}
+		default:
+			return nil, badRequest("illegal_argument_exception", fmt.Sprintf("request [_search] contains unrecognized parameter: [%.40s]", name))
+		}
+	}
+	return preferred, nil
+}
+
+// leaves are the queries that are handed on to the league servers, with
+// whether they are about one field.
+var leaves = map[string]bool{
+	"match_all": false, "match_none": false, "ids": false, "query_string": false, "simple_query_string": false,
+	"exists": false, "multi_match": false,
+	"match": true, "match_phrase": true, "match_phrase_prefix": true, "term": true, "terms": true,
+	"prefix": true, "wildcard": true, "fuzzy": true, "range": true,
+}
+
+// checkQuery refuses a query that the league servers are not known to support.
+func checkQuery(data json.RawMessage, depth int) error {
+	if depth > maxDepth {
+		return badRequest("parsing_exception", "queries are nested too deep")
+	}
+	var clause map[string]json.RawMessage
+	if err := json.Unmarshal(data, &clause); err != nil || len(clause) != 1 {
+		return badRequest("parsing_exception", "[query] must be an object with one query type")
+	}
+	for name, body := range clause {
+		var object map[string]json.RawMessage
+		if err := json.Unmarshal(body, &object); err != nil || object == nil {
+			return badRequest("parsing_exception", fmt.Sprintf("[%.40s] query malformed, no start_object after query name", name))
+		}
+		field, known := leaves[name]
+		switch {
+		case name == "bool":
+			return checkBool(object, depth)
+		case !known:
+			return badRequest("parsing_exception", fmt.Sprintf("unknown query [%.40s]", name))
+		case field && len(object) != 1:
+			return badRequest("parsing_exception", fmt.Sprintf("[%s] query needs one field", name))
+		}
+	}
+	return nil
+}
+
+func checkBool(object map[string]json.RawMessage, depth int) error {
+	for _, key := range slices.Sorted(maps.Keys(object)) {
+		switch key {
+		case "must", "should", "filter", "must_not":
+			var list []json.RawMessage
+			if json.Unmarshal(object[key], &list) != nil {
+				list = []json.RawMessage{object[key]}
+			}
+			for _, inner := range list {
+				if err := checkQuery(inner, depth+1); err != nil {
+					return err
+				}
+			}
+		case "minimum_should_match", "boost":
+		default:
+			return badRequest("parsing_exception", fmt.Sprintf("[bool] query does not support [%.40s]", key))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/opensearch/settings.go
@@ -0,0 +1,91 @@
+package opensearch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/url"
+	"time"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/http1"
+	"linkpass/internal/store"
+)
+
+// Replicated is the settings' store.
+type Replicated interface {
+	Current() *catalog.Catalog
+	Read() (*catalog.Catalog, error)
+	Change(patch []byte) (*catalog.Catalog, error)
+}
+
+// StoreSettings answers /_cluster/settings from a store: GET reads (with
+// local=true what this instance has), PUT changes by a merge patch.
+func StoreSettings(s Replicated) http1.Handler {
+	return http1.HandlerFunc(func(_ context.Context, _ time.Duration, req *http1.Request) *http1.Response {
+		params, err := url.ParseQuery(req.Query)
+		if err != nil {
+			return errorResponse(badRequest("illegal_argument_exception", err.Error()))
+		}
+		switch req.Method {
+		case "GET":
+			if params.Get("local") == "true" {
+				return settingsResponse(s.Current(), false)
+			}
+			c, err := s.Read()
+			if err != nil {
+				return storeError(err)
+			}
+			return settingsResponse(c, false)
+		case "PUT":
+			patch, bad := patchOf(req.Body)
+			if bad != nil {
+				return errorResponse(bad)
+			}
+			c, err := s.Change(patch)
+			if err != nil {
+				return storeError(err)
+			}
+			return settingsResponse(c, true)
+		}
+		return errorResponse(&cause{Type: "illegal_argument_exception", Status: 405,
+			Reason: fmt.Sprintf("Incorrect HTTP method for uri [%s] and method [%s], allowed: [GET, PUT]", req.Path, req.Method)})
+	})
+}
+
+// patchOf takes the persistent part of a change.
+func patchOf(body []byte) (json.RawMessage, *cause) {
+	var change map[string]json.RawMessage
+	if err := json.Unmarshal(body, &change); err != nil {
+		return nil, badRequest("json_parse_exception", err.Error())
+	}
+	for key, value := range change {
+		if key != "persistent" && !(key == "transient" && string(value) == "{}") {
+			return nil, badRequest("illegal_argument_exception", fmt.Sprintf("[%.40s] settings are not supported", key))
+		}
+	}
+	if len(change["persistent"]) == 0 {
+		return nil, badRequest("action_request_validation_exception", "no settings to update")
+	}
+	return change["persistent"], nil
+}
+
+// storeError words why the store could not answer. A follower names the leader.
+func storeError(err error) *http1.Response {
+	var other *store.NotLeader
+	c := &cause{Type: "cluster_manager_not_discovered_exception", Reason: err.Error(), Status: 503}
+	switch {
+	case errors.As(err, &other):
+		res := errorResponse(&cause{Type: "not_cluster_manager_exception", Reason: err.Error(), Status: 307})
+		res.Header["Location"] = []string{"http://" + other.Leader.HTTP + "/_cluster/settings"}
+		return res
+	case errors.Is(err, catalog.ErrInvalid):
+		return errorResponse(badRequest("illegal_argument_exception", err.Error()))
+	case errors.Is(err, store.ErrNoQuorum):
+		c.Type = "process_cluster_event_timeout_exception"
+	}
+	log.Printf("event=store_failed err=%q", err)
+	return errorResponse(c)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,7 +36,8 @@
 	Text       []byte
 }
 
-// Message is what a server sent. Without a name it is about whatever is out.
+// Message is what a server sent. Where one thing at a time is out, it needs no
+// name and is about that; Probe is then set on what can't answer a part.
 type Message struct {
 	Probe  bool
 	Name   string
@@ -503,7 +504,7 @@
 	}
 	result := coordinator.Result{End: m.End, Report: m.Report, Value: m.Value, Score: m.Score, Hits: m.Hits, At: at}
 	if p.room.Exclusive {
-		m.Probe = len(c.probes) > 0
+		m.Probe = m.Probe || len(c.probes) > 0
 		for name := range c.parts {
 			m.Name = name
 		}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,267 @@
+package peer_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/end"
+	"linkpass/internal/frame"
+	"linkpass/internal/peer"
+)
+
+// sink stands in for the core: time stands still unless the test moves it.
+type sink struct {
+	now    atomic.Int64
+	mu     sync.Mutex
+	armed  []*armed
+	ended  chan ended
+	probed chan coordinator.Result
+}
+
+type armed struct {
+	at   time.Duration
+	fire func()
+}
+
+type ended struct {
+	id coordinator.AttemptID
+	coordinator.Result
+}
+
+func newSink() *sink {
+	return &sink{ended: make(chan ended, 64), probed: make(chan coordinator.Result, 64)}
+}
+func (s *sink) Now() time.Duration { return time.Duration(s.now.Load()) }
+func (s *sink) Arm(at time.Duration, fire func()) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := &armed{at, fire}
+	s.armed = append(s.armed, a)
+	return func() { s.mu.Lock(); a.fire = nil; s.mu.Unlock() }
+}
+
+// pass moves the time on and fires what falls due.
+func (s *sink) pass(d time.Duration) {
+	now := time.Duration(s.now.Add(int64(d)))
+	s.mu.Lock()
+	var due []func()
+	for _, a := range s.armed {
+		if a.fire != nil && a.at <= now {
+			due, a.fire = append(due, a.fire), nil
+		}
+	}
+	s.mu.Unlock()
+	for _, f := range due {
+		f()
+	}
+}
+func (s *sink) Ended(id coordinator.AttemptID, r coordinator.Result) { s.ended <- ended{id, r} }
+func (s *sink) ProbeEnded(_ uint64, r coordinator.Result)            { s.probed <- r }
+
+// server takes connections of a stand-in and hands their frames to the test.
+type server struct {
+	ln     net.Listener
+	conns  chan net.Conn
+	frames chan string
+}
+
+func listen(t *testing.T) *server {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{ln: ln, conns: make(chan net.Conn, 16), frames: make(chan string, 64)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- nc
+			go func() {
+				r := bufio.NewReader(nc)
+				for {
+					letter, rest, err := frame.Read(r)
+					if err != nil {
+						return
+					}
+					s.frames <- string(letter) + string(rest)
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func start(t *testing.T, addr string) (*peer.Peer, *sink) {
+	s := newSink()
+	p := peer.New(peer.Config{Sink: s, Counters: counters.New(), ConnectTimeout: 250 * time.Millisecond, Keepalive: 30 * time.Second},
+		frame.Dialect{MaxStreams: 2, ReportNames: []string{"active"}}, "s-1", addr)
+	p.Fit(true)
+	t.Cleanup(func() { p.Close(); p.Wait() })
+	return p, s
+}
+
+func attempt(query string, shard, no int) []coordinator.Attempt {
+	return []coordinator.Attempt{{ID: coordinator.AttemptID{Part: 1, No: no}, Query: query, Shard: shard, Text: []byte("x"), Ends: time.Hour}}
+}
+
+func reply(nc net.Conn, text string) { _, _ = nc.Write(frame.Append(nil, frame.Answer, []byte(text))) }
+
+func (s *sink) want(t *testing.T, e end.End) ended {
+	t.Helper()
+	got := <-s.ended
+	if got.End != e {
+		t.Fatalf("ended as %s, want %s", got.End, e)
+	}
+	return got
+}
+
+func TestPartsAndProbes(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	p.Call(attempt("a", 3, 0))
+	if got := <-srv.frames; got != "Da.3 3 d=3600000 1\nx" {
+		t.Fatalf("wrote %q", got)
+	}
+	nc := <-srv.conns
+	reply(nc, "b.9 200 1 -\nstray")
+	reply(nc, "a.3 200 17 active=4\nvalue")
+	if r := s.want(t, end.Served); string(r.Value) != "value" || r.Score != 17 || r.Report[0] != 4 {
+		t.Errorf("%+v", r)
+	}
+	for text, want := range map[string]end.End{"500": end.ServerError, "503": end.TurnedAway} {
+		p.Call(attempt("a", 3, 1))
+		<-srv.frames
+		reply(nc, "a.3 "+text+" 0 -\n")
+		s.want(t, want)
+	}
+	p.Probe(1)
+	if got := <-srv.frames; got != "U" {
+		t.Fatalf("probed by %q", got)
+	}
+	_, _ = nc.Write(frame.Append(nil, frame.LoadProbe, []byte("active=2")))
+	if r := <-s.probed; r.End != end.Served || r.Report[0] != 2 {
+		t.Errorf("%+v", r)
+	}
+	p.Call(attempt("c", 1, 2))
+	<-srv.frames
+	p.Cancel(coordinator.AttemptID{Part: 1, No: 2})
+	if got := <-srv.frames; got != "Kc.1" {
+		t.Errorf("gave up by %q", got)
+	}
+}
+
+// Between the module's decision and the write a server may begin to drain, a query
+// may end, its time may pass: nothing may go out then.
+func TestNothingIsWrittenThatIsOver(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	late := attempt("late", 3, 0)
+	late[0].Ends = 0
+	p.Call(late)
+	s.want(t, end.Withheld)
+	p.Fit(false)
+	p.Call(attempt("drained", 3, 1))
+	s.want(t, end.Withheld)
+	p.Fit(true)
+	p.Call(attempt("twin", 3, 2))
+	<-srv.frames
+	p.Call(attempt("twin", 3, 3)) // the answers of the two could not be told apart
+	s.want(t, end.Withheld)
+	if len(srv.frames) != 0 {
+		t.Errorf("wrote %q", <-srv.frames)
+	}
+}
+
+func TestConnectionsThatEnd(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	for _, c := range []struct {
+		cut  func(net.Conn)
+		want end.End
+	}{
+		{func(nc net.Conn) { _ = nc.(*net.TCPConn).SetLinger(0); nc.Close() }, end.Broken},
+		{func(nc net.Conn) { nc.Close() }, end.Closed},
+		{func(nc net.Conn) { nc.Write(frame.Append(nil, 'Q', nil)) }, end.Garbled},
+		{func(nc net.Conn) { nc.Write(frame.Append(nil, frame.Complaint, []byte("what?"))) }, end.Rejected},
+		{func(nc net.Conn) { nc.Write([]byte{9, 0, 0, 0, 'O'}); nc.Close() }, end.Broken},
+		{func(nc net.Conn) { reply(nc, "nothing of use") }, end.Garbled},
+	} {
+		p.Call(attempt("a", 3, 0))
+		<-srv.frames
+		c.cut(<-srv.conns)
+		s.want(t, c.want)
+	}
+	srv.ln.Close()
+	p.Call(attempt("a", 3, 0))
+	s.want(t, end.DialRefused)
+}
+
+// A process that began anew does not know the connections of the old one; a silent
+// one never says so.
+func TestRestartEndsOldConnections(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	p.Call(attempt("a", 3, 0))
+	<-srv.frames
+	p.Restarted(1)
+	s.want(t, end.Broken)
+}
+
+func TestIdleConnectionsAreClosedBeforeTheServerDoes(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	p.Call(attempt("a", 3, 0))
+	<-srv.frames
+	nc := <-srv.conns
+	reply(nc, "a.3 200 1 -\n")
+	s.want(t, end.Served)
+	s.pass(29 * time.Second)
+	p.Call(attempt("b", 3, 0)) // goes out on a new connection
+	<-srv.frames
+	<-srv.conns
+}
+
+// What does not fit on a connection opens another, up to the cap; past that it is
+// told at once, never held back.
+func TestCrowd(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	const room = 2 * 8
+	for i := range room {
+		p.Call(attempt(fmt.Sprint("q", i), 3, i))
+	}
+	for range room {
+		if got := <-srv.frames; !strings.HasPrefix(got, "Dq") {
+			t.Fatalf("%q", got)
+		}
+	}
+	p.Call(attempt("over", 3, room))
+	if r := s.want(t, end.Crowded); r.id.No != room {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestRetiredPeerEndsWithItsWork(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	p.Call(attempt("a", 3, 0))
+	<-srv.frames
+	p.Retire()
+	reply(<-srv.conns, "a.3 200 1 -\nv")
+	s.want(t, end.Served)
+	p.Wait()
+	if p.Call(attempt("b", 3, 0)) {
+		t.Error("took work after its end")
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "linkpass/internal/seeded"
 )
 
 const object = `{"az":1,"bounds":{"connect_timeout":250.0,"keepalive":30000.0,"max_attempts":3,"max_streams":32,"probes":true},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,2 +1,304 @@
-// Package store replicates the catalog among a few instances.
+// Package store replicates the catalog among a few instances with Raft, keeps
+// it on disk, and serves it. Routing shares nothing through it.
 package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"linkpass/internal/catalog"
+)
+
+// Member is one instance of the store.
+type Member struct {
+	ID   string `toml:"id"`
+	Raft string `toml:"raft"` // address of its Raft traffic
+	HTTP string `toml:"http"` // address of its search front
+}
+
+// Config sets up one instance.
+type Config struct {
+	ID      string   `toml:"id"`
+	Dir     string   `toml:"dir"` // log, terms and snapshots
+	Members []Member `toml:"members"`
+
+	Initial *catalog.Catalog `toml:"-"` // what holds until something is replicated; nil: nothing
+	// Pace scales Raft's own time limits, 1 being the library's defaults.
+	Pace float64 `toml:"pace"`
+	// Listener takes the place of one on this member's address, if set.
+	Listener net.Listener `toml:"-"`
+}
+
+// Errors of a change or of a read.
+var (
+	ErrNoLeader = errors.New("store: no leader is known, a majority may be out of reach")
+	ErrNoQuorum = errors.New("store: a majority did not confirm in time")
+)
+
+// NotLeader says that another instance has to be asked.
+type NotLeader struct{ Leader Member }
+
+func (e *NotLeader) Error() string {
+	return fmt.Sprintf("store: %s at %s is the leader", e.Leader.ID, e.Leader.HTTP)
+}
+
+const (
+	applyLimit = 3 * time.Second // for a majority to confirm a change
+	keepSnaps  = 2
+	poolSize   = 3
+)
+
+// Store is one instance.
+type Store struct {
+	config  Config
+	raft    *raft.Raft
+	bolt    *raftboltdb.BoltStore
+	machine *machine
+
+	changing sync.Mutex // one change after another, each upon the last
+}
+
+// Open starts an instance; one with no state of its own begins with the
+// members that the configuration names.
+func Open(c Config) (*Store, error) {
+	me, ok := c.member(c.ID)
+	if !ok {
+		return nil, fmt.Errorf("store: %q is not among the members", c.ID)
+	}
+	if c.Dir == "" {
+		return nil, errors.New("store: dir is missing")
+	}
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	logger := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: &lineWriter{}, DisableTime: true})
+	rc := raft.DefaultConfig()
+	rc.LocalID, rc.Logger = raft.ServerID(c.ID), logger
+	if c.Pace > 0 {
+		for _, d := range []*time.Duration{&rc.HeartbeatTimeout, &rc.ElectionTimeout, &rc.LeaderLeaseTimeout, &rc.CommitTimeout} {
+			*d = time.Duration(c.Pace * float64(*d))
+		}
+	}
+	s := &Store{config: c, machine: &machine{}}
+	initial := c.Initial
+	if initial == nil {
+		initial = &catalog.Catalog{}
+	}
+	s.machine.current.Store(initial)
+	bolt, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(c.Dir, "raft.db")})
+	if err != nil {
+		return nil, fmt.Errorf("store: log: %w", err)
+	}
+	s.bolt = bolt
+	if err := s.start(rc, me, logger); err != nil {
+		_ = bolt.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Store) start(rc *raft.Config, me Member, logger hclog.Logger) error {
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(s.config.Dir, keepSnaps, logger)
+	if err != nil {
+		return fmt.Errorf("store: snapshots: %w", err)
+	}
+	ln := s.config.Listener
+	if ln == nil {
+		if ln, err = net.Listen("tcp", me.Raft); err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+	}
+	transport := raft.NewNetworkTransportWithLogger(stream{ln}, poolSize, applyLimit, logger)
+	old, err := raft.HasExistingState(s.bolt, s.bolt, snaps)
+	if err == nil && !old {
+		var members raft.Configuration
+		for _, m := range s.config.Members {
+			members.Servers = append(members.Servers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Raft)})
+		}
+		err = raft.BootstrapCluster(rc, s.bolt, s.bolt, snaps, transport, members)
+	}
+	if err == nil {
+		s.raft, err = raft.NewRaft(rc, s.machine, s.bolt, s.bolt, snaps, transport)
+	}
+	if err != nil {
+		_ = transport.Close()
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+func (c *Config) member(id string) (Member, bool) {
+	for _, m := range c.Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Current is the catalog as this instance has it.
+func (s *Store) Current() *catalog.Catalog { return s.machine.current.Load() }
+
+// Read is the catalog as a majority confirms it; only the leader can tell.
+func (s *Store) Read() (*catalog.Catalog, error) {
+	if err := s.leads(); err != nil {
+		return nil, err
+	}
+	if err := s.confirm(s.raft.VerifyLeader()); err != nil {
+		return nil, err
+	}
+	if err := s.confirm(s.raft.Barrier(applyLimit)); err != nil {
+		return nil, err
+	}
+	return s.Current(), nil
+}
+
+// Change applies a merge patch once a majority has it. What is replicated is
+// the whole document, as instances may differ in what they began with.
+func (s *Store) Change(patch []byte) (*catalog.Catalog, error) {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	now, err := s.Read()
+	if err != nil {
+		return nil, err
+	}
+	next, err := now.Patch(patch)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(next)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	future := s.raft.Apply(data, applyLimit)
+	if err := s.confirm(future); err != nil {
+		return nil, err
+	}
+	if err, ok := future.Response().(error); ok {
+		return nil, err
+	}
+	return next, nil
+}
+
+// confirm waits until a majority has confirmed something.
+func (s *Store) confirm(future raft.Future) error {
+	done := make(chan error, 1)
+	go func() { done <- future.Error() }() // ends with the future: when leadership is lost, at the latest
+	timer := time.NewTimer(applyLimit)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) || errors.Is(err, raft.ErrEnqueueTimeout) {
+			return fmt.Errorf("%w: %w", ErrNoQuorum, err)
+		}
+		if err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		return nil
+	case <-timer.C:
+		return ErrNoQuorum
+	}
+}
+
+// leads tells why this instance can't answer for the store, if it can't.
+func (s *Store) leads() error {
+	if s.raft.State() == raft.Leader {
+		return nil
+	}
+	_, id := s.raft.LeaderWithID()
+	if m, ok := s.config.member(string(id)); ok && m.ID != s.config.ID {
+		return &NotLeader{m}
+	}
+	return ErrNoLeader
+}
+
+// Close stops the instance; its state stays on disk.
+func (s *Store) Close() error {
+	err := s.raft.Shutdown().Error()
+	if cerr := s.bolt.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+// machine is the replicated state: the catalog.
+type machine struct {
+	current atomic.Pointer[catalog.Catalog]
+}
+
+// Apply takes the document of one entry.
+func (m *machine) Apply(entry *raft.Log) any {
+	next, err := catalog.Parse(entry.Data)
+	if err != nil {
+		log.Printf("event=settings_bad index=%d err=%q", entry.Index, err)
+		return err
+	}
+	m.current.Store(next)
+	log.Printf("event=settings_changed index=%d", entry.Index)
+	return nil
+}
+
+// Snapshot is the catalog as it stands.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) { return snapshot{m.current.Load()}, nil }
+
+// Restore takes a snapshot's catalog.
+func (m *machine) Restore(in io.ReadCloser) error {
+	defer in.Close()
+	data, err := io.ReadAll(in)
+	if err != nil {
+		return fmt.Errorf("store: snapshot: %w", err)
+	}
+	c, err := catalog.Parse(data)
+	if err != nil {
+		return fmt.Errorf("store: snapshot: %w", err)
+	}
+	m.current.Store(c)
+	return nil
+}
+
+type snapshot struct{ catalog *catalog.Catalog }
+
+// Persist writes the catalog whole.
+func (s snapshot) Persist(sink raft.SnapshotSink) error {
+	if err := json.NewEncoder(sink).Encode(s.catalog); err != nil {
+		_ = sink.Cancel()
+		return fmt.Errorf("store: snapshot: %w", err)
+	}
+	return sink.Close()
+}
+
+// Release has nothing to let go.
+func (snapshot) Release() {}
+
+// stream is Raft's transport over a listener.
+type stream struct{ net.Listener }
+
+// Dial connects to another instance.
+func (stream) Dial(addr raft.ServerAddress, limit time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", string(addr), limit)
+}
+
+// lineWriter hands the library's lines to the program's log.
+type lineWriter struct{}
+
+// Write logs one line.
+func (*lineWriter) Write(b []byte) (int, error) {
+	log.Printf("event=raft line=%q", b)
+	return len(b), nil
+}
