Refuse what a coordinator has no room to hold

max_open comes with the settings; nothing on the sockets enforces it, so the module now counts what it holds and refuses past that, with advice when to come back.

--- a/router.go
+++ b/router.go
@@ -305,8 +305,10 @@
 	}
 	limit *= max(valueLeast, min(valueMost, value/r.values.middle(r.now, value)))
 	mean, worst := r.forecast(q)
-	if len(q.parts) == 0 || mean > limit || worst > hopelessShare*float64(q.class.Aim) {
-		if mean > limit {
+	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
+	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
+	if len(q.parts) == 0 || crowded || mean > limit || worst > hopelessShare*float64(q.class.Aim) {
+		if crowded || mean > limit {
 			r.pressed = r.now // a shard that is hot or gone presses no other
 		}
 		r.renew(q)
--- a/router_test.go
+++ b/router_test.go
@@ -755,3 +755,20 @@
 		t.Error("a lost shard counts as want of room")
 	}
 }
+
+// A real coordinator has memory for so many queries and parts; past that it must refuse.
+func TestHoldsNoMoreThanItMay(t *testing.T) {
+	set := settings()
+	set.MaxOpen = 5
+	b := newBed(t, set)
+	b.query(10, 0, 0)
+	b.query(20, 0, 0, 1)
+	expect[Refuse](t, b.last, 0)
+	b.query(30, 0, 0)
+	if r := expect[Refuse](t, b.last, 1)[0]; r.ID != 30 || r.RetryAfter <= 0 {
+		t.Errorf("%+v", r)
+	}
+	b.turn(ClientGone{ID: 10})
+	b.query(40, 0, 0)
+	expect[Refuse](t, b.last, 0)
+}
