--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "linkpass/internal/seeded"
+)
+
+const valid = `{"search":{"default_search_timeout":"500ms"},"indices":{"players":{"class":"team-lookup","slices":[0,1]}},"servers":{"s-1":{"protocol":"search"}}}`
+
+func TestPatches(t *testing.T) {
+	c, err := Parse([]byte(valid))
+	if err != nil || c.Timeout() != 500*time.Millisecond || c.Protocol("s-1") != Search || c.Protocol("s-2") != Plain ||
+		c.Window() != 10000 || !c.AllowPartial() {
+		t.Fatalf("%+v %v", c, err)
+	}
+	next, err := c.Patch([]byte(`{"servers":{"s-1":null},"indices.players.slices":[2],"search":{"default_allow_partial_results":false}}`))
+	if err != nil || next.Protocol("s-1") != Plain || next.Indices["players"].Slices[0] != 2 ||
+		next.Indices["players"].Class != "team-lookup" || next.AllowPartial() || next.Timeout() != 500*time.Millisecond {
+		t.Errorf("%+v %v", next, err)
+	}
+	if c.Protocol("s-1") != Search || !c.AllowPartial() {
+		t.Error("the patch changed a published catalog")
+	}
+	for _, bad := range []string{`{"indices":{"Players":{"class":"a","slices":[1]}}}`, `{"indices.players.slices":[1,1]}`,
+		`{"indices.players.slices":[-1]}`, `{"indices.players.slices":[]}`, `{"servers.s-1.protocol":"telnet"}`,
+		`{"unheard":1}`, `{"search.default_search_timeout":"soon"}`, `{"search.max_result_window":-1}`, `[]`, `{} {}`} {
+		if _, err := c.Patch([]byte(bad)); !errors.Is(err, ErrInvalid) {
+			t.Errorf("took %s: %v", bad, err)
+		}
+	}
+}
+
+func TestTimes(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "-1": 0, "3micros": 3 * time.Microsecond, "2s": 2 * time.Second, "1m": time.Minute} {
+		if got, err := ParseTime(text); err != nil || got != want {
+			t.Errorf("%q: %v %v", text, got, err)
+		}
+	}
+	for _, bad := range []string{"5", "0s", "-2s", "1.5s", "s", "99999999999d"} {
+		if _, err := ParseTime(bad); err == nil {
+			t.Errorf("took %q", bad)
+		}
+	}
+}
+
+func TestCatalogsFromAnything(t *testing.T) {
+	base := &Catalog{}
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := Parse([]byte(valid[:rapid.IntRange(0, len(valid)-1).Draw(t, "at")])); err == nil {
+			t.Fatal("took a cut document")
+		}
+		_, _ = base.Patch(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
+		_, _ = ParseTime(rapid.String().Draw(t, "time"))
+	})
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,122 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
+	_ "linkpass/internal/seeded"
+)
+
+const valid = `{"parts":[{"id":3,"w":0.5,"hint":9000},{"id":5,"w":0.5,"tag":"00000000000000ff"}],"expr":"c41e77d0"}`
+
+type core struct {
+	queries []coordinator.Query
+	answer  coordinator.Answer
+}
+
+func (c *core) Submit(q coordinator.Query) func() {
+	c.queries = append(c.queries, q)
+	q.Reply(c.answer)
+	return func() {}
+}
+
+func request(path, body string, header ...string) *http1.Request {
+	r := &http1.Request{Method: "POST", Path: path, Body: []byte(body), Header: map[string][]string{
+		"X-Request-Id": {"9b1f03aa5c7e2d41"}, "X-Timeout-Ms": {"480"}, "X-Priority-Class": {"checkout"}, "X-Retried": {"1"}}}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func front(c *core) *Front {
+	return &Front{Core: c, Classes: []string{"browse", "checkout"}, Shards: 6, Counters: counters.New(), Ready: func() bool { return true }}
+}
+
+func TestQueriesAndAnswers(t *testing.T) {
+	c := &core{answer: coordinator.Answer{Verdict: coordinator.Answered, Whole: true,
+		Values: []coordinator.Value{{Shard: 3, Data: []byte("5be2")}}}}
+	f := front(c)
+	res := f.Serve(context.Background(), time.Second, request("/checkout", valid))
+	if res.Status != 200 || string(res.Body) != `{"exact":true,"rows":[{"id":3,"data":"5be2"}]}` {
+		t.Errorf("%d %s", res.Status, res.Body)
+	}
+	q := c.queries[0]
+	if q.Name != "9b1f03aa5c7e2d41" || q.Class != 1 || q.Timeout != 480*time.Millisecond || q.Began != time.Second || !q.Repeat ||
+		len(q.Parts) != 2 || q.Parts[0].Hint != 9*time.Millisecond || q.Parts[1].Key != 255 || string(q.Parts[1].Text) != "c41e77d0" {
+		t.Errorf("%+v", q)
+	}
+	c.answer = coordinator.Answer{Verdict: coordinator.Refused, RetryAfter: 375 * time.Millisecond}
+	if res := f.Serve(context.Background(), 0, request("/checkout", valid)); res.Status != 503 || res.Header.Get("Retry-After") != "0.375" {
+		t.Errorf("%+v", res)
+	}
+	c.answer = coordinator.Answer{Verdict: coordinator.Failed}
+	if res := f.Serve(context.Background(), 0, request("/checkout", valid)); res.Status != 500 {
+		t.Errorf("%+v", res)
+	}
+	if res := f.Serve(context.Background(), 0, &http1.Request{Method: "GET", Path: "/health/ready"}); res.Status != 200 {
+		t.Errorf("%+v", res)
+	}
+	f.Ready = func() bool { return false }
+	if res := f.Serve(context.Background(), 0, &http1.Request{Method: "GET", Path: "/health/ready"}); res.Status != 503 {
+		t.Errorf("%+v", res)
+	}
+}
+
+// What can't be served as asked gets a 4xx and never reaches the core.
+func TestUnusableQueries(t *testing.T) {
+	c := &core{}
+	f := front(c)
+	bad := 0
+	for _, r := range []*http1.Request{
+		request("/nowhere", valid), request("/checkout", valid, "X-Priority-Class", "browse"),
+		request("/checkout", valid, "X-Timeout-Ms", "soon"), request("/checkout", valid, "X-Timeout-Ms", "0"),
+		request("/checkout", valid, "X-Request-Id", ""), request("/checkout", valid, "X-Request-Id", "a b"),
+		request("/checkout", valid, "X-Request-Id", strings.Repeat("x", 200)),
+		request("/checkout", `{}`), request("/checkout", `{"parts":[],"expr":"x"}`), request("/checkout", `{"parts":[{"id":3,"w":1}]}`),
+		request("/checkout", `{"parts":[{"id":6,"w":1}],"expr":"x"}`), request("/checkout", `{"parts":[{"w":1}],"expr":"x"}`),
+		request("/checkout", `{"parts":[{"id":3,"w":1},{"id":3,"w":1}],"expr":"x"}`),
+		request("/checkout", `{"parts":[{"id":3,"w":-1}],"expr":"x"}`), request("/checkout", `{"parts":[{"id":3,"w":1,"tag":"xyz"}],"expr":"x"}`),
+		{Method: "GET", Path: "/checkout"},
+	} {
+		if res := f.Serve(context.Background(), 0, r); res.Status < 400 || res.Status > 499 {
+			t.Errorf("%s %s %v: %d", r.Path, r.Body, r.Header, res.Status)
+		}
+		bad++
+	}
+	if len(c.queries) != 0 || f.Counters.Get("platform_rejected") != int64(bad) {
+		t.Errorf("%d reached the core; %s", len(c.queries), f.Counters)
+	}
+}
+
+func TestBodiesFromAnything(t *testing.T) {
+	f := front(&core{})
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := f.parts([]byte(valid[:rapid.IntRange(0, len(valid)-1).Draw(t, "at")])); err == nil {
+			t.Fatal("took a cut body")
+		}
+		parts, err := f.parts(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
+		if err == nil && len(parts) == 0 {
+			t.Fatal("took garbage")
+		}
+	})
+}
+
+// Whatever bytes a league server gave as a value, the answer stays readable.
+func TestValuesOfAnyBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		res := response(coordinator.Answer{Verdict: coordinator.Answered,
+			Values: []coordinator.Value{{Shard: 1, Data: rapid.SliceOf(rapid.Byte()).Draw(t, "value")}}})
+		if res.Status != 200 || !json.Valid(res.Body) {
+			t.Fatalf("%d %q", res.Status, res.Body)
+		}
+	})
+}
