--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"log"
@@ -108,7 +107,8 @@
 	Arm(at time.Duration, fire func()) (disarm func())
 }
 
-// Watcher is the actor.
+// Watcher is the actor of the list: its mailbox takes the answers of the calls
+// that it has begun, one at a time.
 type Watcher struct {
 	Addr     string
 	Reader   *Reader
@@ -116,11 +116,25 @@
 	Counters *counters.Set
 
 	version int64
+	mailbox chan reply
+}
+
+// reply is how one call ended. Without a connection the next call makes its own.
+type reply struct {
+	line *line
+	body []byte
+	err  error
+}
+
+// line is a connection to discovery.
+type line struct {
+	net.Conn
+	reader *http1.Reader
 }
 
 // Run starts from the list last known and watches until the context ends.
 func (w *Watcher) Run(ctx context.Context, known Document) {
-	w.version = none
+	w.version, w.mailbox = none, make(chan reply, 1)
 	if list, err := w.Reader.List(known); err != nil {
 		w.bad(err)
 	} else {
@@ -128,59 +142,71 @@
 		w.version = known.Version
 		w.Core.List(list)
 	}
-	for ctx.Err() == nil {
-		if err := w.watch(ctx); err != nil && ctx.Err() == nil {
-			w.Counters.Add("discovery_failed", 1)
-			log.Printf("event=discovery_failed addr=%s err=%q", w.Addr, err)
+	var held *line
+	for {
+		go func(l *line, version int64) { w.mailbox <- w.call(ctx, l, version) }(held, w.version)
+		r := <-w.mailbox // the call ends with the context
+		held = r.line
+		if ctx.Err() != nil {
+			break
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		if r.err == nil {
+			r.err = w.take(r.body)
+		}
+		if r.err != nil {
+			w.Counters.Add("discovery_failed", 1)
+			log.Printf("event=discovery_failed addr=%s err=%q", w.Addr, r.err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
 		}
 	}
+	if held != nil {
+		_ = held.Close()
+	}
 }
 
-// watch keeps calling on one connection until that ends.
-func (w *Watcher) watch(ctx context.Context) error {
+// call makes one call, on the connection held or on a new one. A connection that
+// can't carry another call is closed and not handed back.
+func (w *Watcher) call(ctx context.Context, l *line, version int64) reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	disarm := w.Core.Arm(w.Core.Now()+dialLimit, cancel)
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", w.Addr)
-	disarm()
-	if err != nil {
-		return fmt.Errorf("connect: %w", err)
-	}
-	defer nc.Close()
-	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	defer stop()
-	reader := http1.NewReader(nc, maxList)
-	for {
-		path := fmt.Sprintf("/registry/instances?after=%d&wait_ms=%d", w.version, watchWait.Milliseconds())
-		if w.version < 0 {
-			path = "/registry/instances"
-		}
-		disarm := w.Core.Arm(w.Core.Now()+watchWait+watchSlack, cancel)
-		err := http1.WriteRequest(nc, "GET", path, w.Addr, nil, nil)
-		var res *http1.Response
-		if err == nil {
-			res, err = reader.Response()
-		}
+	if l == nil {
+		disarm := w.Core.Arm(w.Core.Now()+dialLimit, cancel)
+		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", w.Addr)
 		disarm()
 		if err != nil {
-			return fmt.Errorf("watch: %w", err)
-		}
-		if res.Status != 200 {
-			return fmt.Errorf("watch: status %d", res.Status)
-		}
-		if err := w.take(res.Body); err != nil {
-			w.bad(err)
-			w.version = none // the whole list will set it right
-			return err
-		}
-		if res.Close {
-			return errors.New("watch: closed by discovery")
+			return reply{err: fmt.Errorf("connect: %w", err)}
 		}
+		l = &line{nc, http1.NewReader(nc, maxList)}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	disarm := w.Core.Arm(w.Core.Now()+watchWait+watchSlack, cancel)
+	res, err := l.ask(w.Addr, version)
+	disarm()
+	if !stop() || err != nil || res.Status != 200 || res.Close {
+		_ = l.Close()
+		l = nil
+	}
+	if err == nil && res.Status != 200 {
+		err = fmt.Errorf("status %d", res.Status)
+	}
+	if err != nil {
+		return reply{err: fmt.Errorf("watch: %w", err)}
 	}
+	return reply{line: l, body: res.Body}
+}
+
+func (l *line) ask(host string, version int64) (*http1.Response, error) {
+	path := "/registry/instances"
+	if version != none {
+		path = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, version, watchWait.Milliseconds())
+	}
+	if err := http1.WriteRequest(l, "GET", path, host, nil, nil); err != nil {
+		return nil, err
+	}
+	return l.reader.Response()
 }
 
 func (w *Watcher) bad(err error) {
@@ -190,11 +216,13 @@
 
 func (w *Watcher) take(data []byte) error {
 	d, err := Parse(data)
-	if err != nil {
-		return err
+	var list coordinator.List
+	if err == nil {
+		list, err = w.Reader.List(d)
 	}
-	list, err := w.Reader.List(d)
 	if err != nil {
+		w.bad(err)
+		w.version = none // the whole list will set it right
 		return err
 	}
 	w.Counters.Add("discovery_answers", 1)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -77,8 +77,7 @@
 		c := &conn{Conn: nc, server: s}
 		if !s.enter(c) {
 			s.Counters.Add(s.Name+"_conns_over", 1)
-			_ = nc.SetWriteDeadline(time.Now().Add(WriteLimit))
-			_ = WriteResponse(nc, &Response{Status: 503, Close: true})
+			_ = WriteResponse(nc, &Response{Status: 503, Close: true}) // a new connection has room for so little
 			_ = nc.Close()
 			continue
 		}
@@ -212,8 +211,10 @@
 }
 
 func (c *conn) write(res *Response) bool {
-	_ = c.SetWriteDeadline(time.Now().Add(WriteLimit))
-	if err := WriteResponse(c, res); err != nil {
+	disarm := c.server.Clock.Arm(c.server.Clock.Now()+WriteLimit, func() { _ = c.Close() })
+	err := WriteResponse(c, res)
+	disarm()
+	if err != nil {
 		c.server.Counters.Add(c.server.Name+"_write_failed", 1)
 		return false
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -115,7 +115,8 @@
 	probes  []uint64 // in the order sent; their answers come in it
 	dead    bool
 	how     end.End // once dead: what it died of
-	disarm  func()
+	disarm  func()      // of the idle limit
+	free    func() bool // of the close at the actor's end
 }
 
 // New starts the actor of a server.
@@ -368,6 +369,7 @@
 		return
 	}
 	c.nc, c.used = nc, p.cfg.Sink.Now()
+	c.free = context.AfterFunc(p.ctx, func() { _ = nc.Close() }) // frees a write that blocks when the actor is to end
 	p.wg.Go(func() { p.read(c) })
 	p.watchIdle(c)
 	c.release()
@@ -438,8 +440,11 @@
 
 // put writes a message. A peer that takes none for too long loses the connection.
 func (p *Peer) put(c *conn, b []byte) bool {
-	_ = c.nc.SetWriteDeadline(time.Now().Add(p.cfg.ConnectTimeout))
-	if _, err := c.nc.Write(b); err != nil {
+	nc := c.nc
+	disarm := p.cfg.Sink.Arm(p.cfg.Sink.Now()+p.cfg.ConnectTimeout, func() { _ = nc.Close() })
+	_, err := nc.Write(b)
+	disarm()
+	if err != nil {
 		p.drop(c, end.Broken)
 		return false
 	}
@@ -459,6 +464,7 @@
 	}
 	p.conns = slices.DeleteFunc(p.conns, func(o *conn) bool { return o == c })
 	if c.nc != nil {
+		c.free()
 		_ = c.nc.Close()
 	}
 	if len(c.parts)+len(c.probes) > 0 && e != end.Silent && e != end.CalledOff {
