--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -114,7 +114,7 @@
 	parts   map[string]coordinator.AttemptID
 	probes  []uint64 // in the order sent; their answers come in it
 	dead    bool
-	how     end.End // once dead: what it died of
+	how     end.End     // once dead: what it died of
 	disarm  func()      // of the idle limit
 	free    func() bool // of the close at the actor's end
 }
