Bound what a searching league server may answer

An answer of 1 MB a part, with 160 parts held, could pass the 192 MB that a coordinator has; 256 KiB, as for frames, stays under it.

--- a/internal/opensearch/dialect.go
+++ b/internal/opensearch/dialect.go
@@ -24,8 +24,8 @@
 }
 
 const (
-	maxConns = 16      // to one server: one descriptor each
-	maxReply = 1 << 20 // bytes of a server's answer
+	maxConns = 16        // to one server: one descriptor each
+	maxReply = 256 << 10 // bytes of an answer: all parts held at once must fit in memory
 	host     = "league-server"
 )
 
