--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"linkpass"
+	"linkpass/internal/coordinator"
+)
+
+// carrier notes what it is told.
+type carrier struct {
+	name  string
+	notes *[]string
+	ended bool
+}
+
+func (c *carrier) note(format string, args ...any) {
+	*c.notes = append(*c.notes, c.name+" "+fmt.Sprintf(format, args...))
+}
+func (c *carrier) Call(list []coordinator.Attempt) bool { c.note("call %d", len(list)); return true }
+func (c *carrier) Cancel(id coordinator.AttemptID)      { c.note("cancel %d", id.No) }
+func (c *carrier) Probe(n uint64) bool                  { c.note("probe %d", n); return true }
+func (c *carrier) Forget(n uint64)                      { c.note("forget %d", n) }
+func (c *carrier) Fit(fit bool)                         { c.note("fit %t", fit) }
+func (c *carrier) Restarted(since time.Duration)        { c.note("restarted %d", since) }
+func (c *carrier) Retire()                              { c.note("retire") }
+func (c *carrier) Close()                               { c.note("close") }
+func (c *carrier) Ended() bool                          { return c.ended }
+func (c *carrier) Wait()                                {}
+
+func TestCarriersFollowTheListAndTheProtocol(t *testing.T) {
+	var notes []string
+	protocol := "search"
+	maker := func(kind string) Make {
+		return func(name, addr string) Carrier { return &carrier{name: kind + "@" + addr, notes: &notes} }
+	}
+	s := NewSet(Protocols{Makers: map[string]Make{"plain": maker("plain"), "search": maker("search")},
+		Of: func(string) string { return protocol }})
+	list := func(mode linkpass.ListMode, addr string, state linkpass.ServerState, since time.Duration) {
+		s.List(coordinator.List{Mode: mode, Members: []coordinator.Member{{Name: "s", Addr: addr,
+			Entry: linkpass.Entry{Server: 1, State: state, Since: since}}}})
+	}
+	step := func(what string, want ...string) {
+		t.Helper()
+		if !slices.Equal(notes, want) {
+			t.Errorf("%s: %q, want %q", what, notes, want)
+		}
+		notes = nil
+	}
+	part := []coordinator.Attempt{{}}
+
+	if s.Call(1, part) || s.Probe(1, 5) {
+		t.Error("work for a server that no list has named was taken")
+	}
+	list(linkpass.ListFull, "a", linkpass.Ready, 0)
+	notes = nil
+	s.Call(1, part)
+	step("a part", "search@a call 1")
+	protocol = "plain" // later parts go out in the new protocol, what is out ends in the old
+	s.Call(1, part)
+	step("the protocol changes", "search@a retire", "plain@a fit true", "plain@a call 1")
+	s.Cancel(1, coordinator.AttemptID{No: 2})
+	step("an attempt of either carrier", "plain@a cancel 2", "search@a cancel 2")
+	list(linkpass.ListDelta, "a", linkpass.Draining, 0)
+	step("it drains", "plain@a fit false")
+	list(linkpass.ListDelta, "a", linkpass.Ready, 7)
+	step("it began anew", "plain@a restarted 7", "plain@a fit true")
+	list(linkpass.ListDelta, "b", linkpass.Ready, 7)
+	if !slices.Contains(notes, "plain@a retire") || notes[len(notes)-1] != "plain@b fit true" {
+		t.Errorf("it moved: %q", notes)
+	}
+	notes = nil
+	s.List(coordinator.List{Mode: linkpass.ListFull})
+	step("a full list without it", "plain@b retire")
+	if s.Call(1, part) {
+		t.Error("work for a server that is gone was taken")
+	}
+	s.Close()
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,8 @@
 	"linkpass/internal/counters"
 	"linkpass/internal/end"
 	"linkpass/internal/frame"
+	"linkpass/internal/http1"
+	"linkpass/internal/opensearch"
 	"linkpass/internal/peer"
 )
 
@@ -265,3 +267,63 @@
 		t.Error("took work after its end")
 	}
 }
+
+// A searching server carries one thing at a time on a connection: what is given up
+// or no longer awaited must not stand in the way, and a greeting is no part.
+func TestOneAtATime(t *testing.T) {
+	requests, conns := make(chan string, 8), make(chan net.Conn, 8)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := http1.NewReader(nc, 0)
+				for {
+					req, err := r.Request()
+					if err != nil {
+						requests <- "end"
+						return
+					}
+					requests <- req.Path
+					conns <- nc
+				}
+			}()
+		}
+	}()
+	next := func(want string) {
+		t.Helper()
+		if got := <-requests; got != want {
+			t.Fatalf("came %q, want %q", got, want)
+		}
+	}
+	s := newSink()
+	p := peer.New(peer.Config{Sink: s, Counters: counters.New(), ConnectTimeout: time.Second}, opensearch.Dialect{}, "s-1", ln.Addr().String())
+	defer func() { p.Close(); p.Wait() }()
+	p.Fit(true)
+	p.Probe(1)
+	next("/")
+	p.Forget(1)
+	next("end")
+	if r := <-s.probed; r.End != end.Silent {
+		t.Errorf("probe ended as %s", r.End)
+	}
+	p.Call(attempt("a", 3, 0))
+	next("/_search")
+	p.Cancel(coordinator.AttemptID{Part: 1, No: 0})
+	next("end")
+	<-conns
+	<-conns
+	p.Call(attempt("b", 3, 1))
+	next("/_search")
+	nc := <-conns
+	_ = http1.WriteResponse(nc, &http1.Response{Status: 200, Body: []byte(`{"name":"s-1"}`)})
+	s.want(t, end.Garbled)
+	next("end")
+}
