Close a broken watch without touching what was given up

Seen: under the race detector the new test of a discovery that is down found Watcher.call setting its line to nil while the function that closes it on a time limit still ran; that one would then close nil and crash the coordinator. Ruled out: the older path, which kept one connection for its whole life. Also: a discovery that is down is logged once, not 20 times a second; discovery_back tells its return.

--- /dev/null
+++ b/internal/counters/counters_test.go
@@ -0,0 +1,23 @@
+package counters
+
+import (
+	"sync"
+	"testing"
+)
+
+func TestCountersAddUpAndAreListedByName(t *testing.T) {
+	s := New()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 100 {
+				s.Add("sent", 2)
+			}
+		})
+	}
+	wg.Wait()
+	s.Add("answered", 1)
+	if got := s.String(); got != "answered=1 sent=1600" {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -143,6 +143,7 @@
 		w.Core.List(list)
 	}
 	var held *line
+	failing := false
 	for {
 		go func(l *line, version int64) { w.mailbox <- w.call(ctx, l, version) }(held, w.version)
 		r := <-w.mailbox // the call ends with the context
@@ -153,9 +154,17 @@
 		if r.err == nil {
 			r.err = w.take(r.body)
 		}
+		if failing && r.err == nil {
+			failing = false
+			log.Printf("event=discovery_back addr=%s", w.Addr)
+		}
 		if r.err != nil {
 			w.Counters.Add("discovery_failed", 1)
-			log.Printf("event=discovery_failed addr=%s err=%q", w.Addr, r.err)
+			// Guards the log against one line for each of the 20 tries a second while discovery is down.
+			if !failing {
+				log.Printf("event=discovery_failed addr=%s err=%q", w.Addr, r.err)
+			}
+			failing = true
 			select {
 			case <-ctx.Done():
 			case <-time.After(pause):
@@ -181,7 +190,8 @@
 		}
 		l = &line{nc, http1.NewReader(nc, maxList)}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	nc := l.Conn // l may be given up below while the function that closes it still runs
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	disarm := w.Core.Arm(w.Core.Now()+watchWait+watchSlack, cancel)
 	res, err := l.ask(w.Addr, version)
 	disarm()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,8 +1,11 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"log"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +122,38 @@
 		}
 	})
 }
+
+// While discovery is down every try counts, but only the first is logged.
+func TestDiscoveryThatIsDownIsLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	log.SetOutput(&lines)
+	defer log.SetOutput(os.Stderr)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	tries := make(chan struct{})
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			nc.Close()
+			tries <- struct{}{}
+		}
+	}()
+	w := &Watcher{Addr: ln.Addr().String(), Reader: reader(), Core: &fakeCore{lists: make(chan coordinator.List, 1)}, Counters: counters.New()}
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, Document{}) }()
+	for range 4 {
+		<-tries
+	}
+	cancel()
+	ln.Close()
+	<-done
+	if n := strings.Count(lines.String(), "event=discovery_failed"); n != 1 || w.Counters.Get("discovery_failed") < 2 {
+		t.Errorf("%d lines, counters %s", n, w.Counters)
+	}
+}
