--- a/window.go
+++ b/window.go
@@ -5,15 +5,14 @@
 	"time"
 )
 
-// window holds timed samples of the last span of time: sums, counts, medians.
+// window holds timed samples of the last span of time: sums, counts, medians. The samples are kept in
+// order of size as they come and go: to sort them for each median took four fifths of a node's CPU.
 type window struct {
-	span    time.Duration
-	at      []time.Duration
-	values  []float64
-	sum     float64
-	scratch []float64
-	median  float64
-	stale   bool
+	span   time.Duration
+	at     []time.Duration
+	values []float64
+	sorted []float64
+	sum    float64
 }
 
 func newWindow(span time.Duration) *window { return &window{span: span} }
@@ -22,8 +21,9 @@
 func (w *window) add(now time.Duration, v float64) {
 	w.trim(now)
 	w.at, w.values = append(w.at, now), append(w.values, v)
+	i, _ := slices.BinarySearch(w.sorted, v)
+	w.sorted = slices.Insert(w.sorted, i, v)
 	w.sum += v
-	w.stale = true
 }
 
 // trim drops the samples that are span old or older.
@@ -31,6 +31,8 @@
 	n := 0
 	for n < len(w.at) && w.at[n] <= now-w.span {
 		w.sum -= w.values[n]
+		i, _ := slices.BinarySearch(w.sorted, w.values[n])
+		w.sorted = slices.Delete(w.sorted, i, i+1)
 		n++
 	}
 	if n == 0 {
@@ -38,7 +40,6 @@
 	}
 	w.at = slices.Delete(w.at, 0, n)
 	w.values = slices.Delete(w.values, 0, n)
-	w.stale = true
 	if len(w.at) == 0 {
 		w.sum = 0 // sheds rounding
 	}
@@ -59,17 +60,11 @@
 // middle is the median of the samples held, or otherwise where there are none.
 func (w *window) middle(now time.Duration, otherwise float64) float64 {
 	w.trim(now)
-	if len(w.values) == 0 {
+	n := len(w.sorted)
+	if n == 0 {
 		return otherwise
 	}
-	if w.stale {
-		w.scratch = append(w.scratch[:0], w.values...)
-		slices.Sort(w.scratch)
-		n := len(w.scratch)
-		w.median = (w.scratch[(n-1)/2] + w.scratch[n/2]) / 2
-		w.stale = false
-	}
-	return w.median
+	return (w.sorted[(n-1)/2] + w.sorted[n/2]) / 2
 }
 
 // newWindows makes n windows of one span.
