Make room at the door: clients not at work are closed for those that ask

Now: at the cap the connection that can best be spared is closed (silent new ones, the longest idle, requests stuck for a second), and a 503 is left for when all are at work. A first request has 2.5 s from connecting, a later one 2 s; a request that stays half is told 408; what is told is not lost to a reset (a bounded wait before the close). Descriptors are divided: half for the fronts, half for league servers (peer.Places), 24 for the rest. A peer that ends closes what came up meanwhile and gives its place back.

--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -29,8 +29,8 @@
 	grace = 450 * time.Millisecond // after SIGTERM new connections still come
 
 	memoryShare    = 0.6 // of the limit is the collector's; the rest is for what it does not see
-	socketShare    = 0.2 // of the descriptors is for the clients of each front
 	defaultSockets = 1024
+	ownSockets     = 24 // descriptors for the program itself: its streams, listeners, discovery, the store
 	mailboxSize    = 1024
 )
 
@@ -44,6 +44,8 @@
 	fronts  []*http1.Server
 	lns     []net.Listener
 	current func() *catalog.Catalog
+	clients int          // connections that each front may hold
+	dials   *peer.Places // connections that all league servers may take
 }
 
 // serve serves until the context ends, then finishes what was taken.
@@ -107,6 +109,13 @@
 	if err != nil {
 		return nil, err
 	}
+	fronts := 1
+	if cfg.search.Listen != "" {
+		fronts++
+	}
+	var servers int
+	p.clients, servers = shareSockets(cfg.sockets, fronts)
+	p.dials = peer.NewPlaces(servers)
 	defer func() {
 		if err != nil {
 			for _, ln := range p.lns {
@@ -130,6 +139,14 @@
 	return p, nil
 }
 
+// shareSockets divides the descriptors: half of what the program does not need for
+// itself is for clients, the fronts alike, and half for the league servers, so that
+// neither can starve the other. Clients with a request open need a third at most.
+func shareSockets(sockets, fronts int) (clients, servers int) {
+	rest := max(2, sockets-ownSockets)
+	return max(1, rest/2/fronts), rest - rest/2
+}
+
 // listen sets up one front on an address.
 func (p *program) listen(name, addr string, h http1.Handler) (*http1.Server, error) {
 	ln, err := net.Listen("tcp", addr)
@@ -137,7 +154,7 @@
 		return nil, fmt.Errorf("front %s: %w", name, err)
 	}
 	server := &http1.Server{Name: name, Handler: h, Clock: p.core, Counters: p.count,
-		MaxConns: max(1, int(socketShare*float64(p.cfg.sockets)))}
+		MaxConns: p.clients}
 	p.lns, p.fronts = append(p.lns, ln), append(p.fronts, server)
 	return server, nil
 }
@@ -167,7 +184,7 @@
 
 // protocols tells how league servers are spoken to.
 func (p *program) protocols() link.Protocols {
-	common := peer.Config{Sink: p.core, Counters: p.count,
+	common := peer.Config{Sink: p.core, Counters: p.count, Places: p.dials,
 		ConnectTimeout: p.cfg.host.ConnectTimeout, Keepalive: p.cfg.host.Keepalive}
 	maker := func(d peer.Dialect) link.Make {
 		return func(name, addr string) link.Carrier { return peer.New(common, d, name, addr) }
--- a/cmd/linkpass/run_test.go
+++ b/cmd/linkpass/run_test.go
@@ -396,3 +396,15 @@
 		t.Errorf("the file in the repository: %+v %v", c, err)
 	}
 }
+
+// However few descriptors there are, clients and league servers have theirs apart.
+func TestDescriptorsAreDivided(t *testing.T) {
+	for _, sockets := range []int{64, 256, 384, 1024} {
+		for fronts := 1; fronts <= 2; fronts++ {
+			clients, servers := shareSockets(sockets, fronts)
+			if clients*fronts+servers+ownSockets > sockets || fronts == 1 && clients < sockets/4 || servers < sockets/4 {
+				t.Errorf("%d descriptors, %d fronts: %d for clients, %d for servers", sockets, fronts, clients, servers)
+			}
+		}
+	}
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,10 +83,46 @@
 	})
 }
 
-type clock struct{}
+// at tells whether a connection is at a state.
+func (s *Server) at(what state) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state == what {
+			return true
+		}
+	}
+	return false
+}
 
-func (clock) Now() time.Duration                        { return 0 }
-func (clock) Arm(time.Duration, func()) (disarm func()) { return func() {} }
+// clock stands still unless a test moves it on; what falls due then fires.
+type clock struct {
+	mu  sync.Mutex
+	now time.Duration
+	due map[*time.Duration]func()
+}
+
+func (c *clock) Now() time.Duration { c.mu.Lock(); defer c.mu.Unlock(); return c.now }
+func (c *clock) Arm(at time.Duration, fire func()) (disarm func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.due == nil {
+		c.due = map[*time.Duration]func(){}
+	}
+	c.due[&at] = fire
+	return func() { c.mu.Lock(); delete(c.due, &at); c.mu.Unlock() }
+}
+func (c *clock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+	for at, fire := range c.due {
+		if *at <= c.now {
+			fire() // none of the server's takes a lock of the clock
+			delete(c.due, at)
+		}
+	}
+}
 
 // serve starts a server whose handler hands each request to the test.
 func serve(t *testing.T, h HandlerFunc, conns int) (*Server, string) {
@@ -93,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Name: "test", Handler: h, Clock: clock{}, Counters: counters.New(), MaxConns: conns}
+	s := &Server{Name: "test", Handler: h, Clock: new(clock), Counters: counters.New(), MaxConns: conns}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ln) }()
 	t.Cleanup(func() { ln.Close(); s.Stop(); <-done })
@@ -133,24 +170,28 @@
 		}
 	}
 	ask("/last")
-	idle, idleReader := dial(t, addr)
-	_ = WriteRequest(idle, "POST", "/other", "x", nil, nil)
+	busy, busyReader := dial(t, addr)
+	_ = WriteRequest(busy, "POST", "/other", "x", nil, nil)
 	<-entered
-	leave["/last"] <- struct{}{}
-	if _, err := r.Response(); err != nil {
-		t.Fatal(err)
-	}
+	// With a request open on every place there is no room.
 	over, overReader := dial(t, addr)
 	if res, err := overReader.Response(); err != nil || res.Status != 503 || !res.Close {
 		t.Errorf("past the cap: %+v %v", res, err)
 	}
 	_ = over.Close()
+	leave["/last"] <- struct{}{}
+	if _, err := r.Response(); err != nil {
+		t.Fatal(err)
+	}
+	for !s.at(idle) {
+		time.Sleep(time.Millisecond)
+	}
 	s.Drain()
 	if err := r.Wait(); !errors.Is(err, io.EOF) {
 		t.Errorf("the idle connection stayed: %v", err)
 	}
 	leave["/other"] <- struct{}{} // what was taken before the drain is still answered, and is the last
-	if res, err := idleReader.Response(); err != nil || res.Status != 200 || !res.Close {
+	if res, err := busyReader.Response(); err != nil || res.Status != 200 || !res.Close {
 		t.Errorf("after the drain: %+v %v", res, err)
 	}
 }
@@ -178,3 +219,54 @@
 	_ = nc.Close()
 	<-gone
 }
+
+// Clients that only connect, or asked once and stay, must not keep the others out:
+// with every place taken, one that is not at work makes room.
+func TestThoseNotAtWorkMakeRoom(t *testing.T) {
+	s, addr := serve(t, func(context.Context, time.Duration, *Request) *Response { return &Response{Status: 200} }, 2)
+	ask := func(nc net.Conn, r *Reader) {
+		t.Helper()
+		_ = WriteRequest(nc, "POST", "/", "x", nil, nil)
+		if res, err := r.Response(); err != nil || res.Status != 200 {
+			t.Fatalf("%+v %v", res, err)
+		}
+		for s.at(serving) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	stays, staying := dial(t, addr)
+	ask(stays, staying)
+	_, silent := dial(t, addr)
+	for !s.at(fresh) {
+		time.Sleep(time.Millisecond)
+	}
+	s.Clock.(*clock).pass(silentLimit)
+	ask(dial(t, addr))
+	if err := silent.Wait(); !errors.Is(err, io.EOF) {
+		t.Errorf("the silent connection stayed: %v", err)
+	}
+	ask(stays, staying) // is idle for less time now than the third
+	ask(dial(t, addr))
+	ask(dial(t, addr))
+	if n := s.Counters.Get("test_conns_evicted"); n != 3 || s.Counters.Get("test_conns_over") != 0 {
+		t.Error(s.Counters)
+	}
+}
+
+// A request that never comes whole is answered and closed in time, and silence is closed.
+func TestSlowAndSilentClientsAreBounded(t *testing.T) {
+	s, addr := serve(t, func(context.Context, time.Duration, *Request) *Response { return &Response{Status: 200} }, 9)
+	half, halfReader := dial(t, addr)
+	_, silent := dial(t, addr)
+	_, _ = io.WriteString(half, "POST / HTTP/1.1\r\nHost: x\r\n")
+	for !s.at(reading) || !s.at(fresh) {
+		time.Sleep(time.Millisecond)
+	}
+	s.Clock.(*clock).pass(FirstLimit)
+	if res, err := halfReader.Response(); err != nil || res.Status != 408 || !res.Close {
+		t.Errorf("half a request: %+v %v", res, err)
+	}
+	if err := silent.Wait(); !errors.Is(err, io.EOF) {
+		t.Errorf("the silent connection stayed: %v", err)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -31,11 +33,17 @@
 	Arm(at time.Duration, fire func()) (disarm func())
 }
 
-// Time limits of a connection.
+// Time limits of a connection. Those who connect and say nothing, or say it drop
+// by drop, are told or closed within them, whatever they send.
 const (
-	IdleLimit    = 5 * time.Minute  // between requests
-	MessageLimit = 10 * time.Second // from a request's first byte to its last
+	FirstLimit   = 2500 * time.Millisecond // from connecting to the last byte of the first request
+	MessageLimit = 2 * time.Second         // from a later request's first byte to its last
+	IdleLimit    = 30 * time.Second        // between requests
 	WriteLimit   = 5 * time.Second
+	lingerLimit  = 500 * time.Millisecond // for a client to read why it is closed
+	lingerBytes  = 256 << 10              // of what it still sends are read meanwhile
+	silentLimit  = 250 * time.Millisecond // a new connection that has said nothing for so long goes first
+	stuckLimit   = time.Second            // a request so long on its way makes room for others
 )
 
 // Server serves one listener.
@@ -48,15 +56,28 @@
 	MaxBody  int64
 
 	mu       sync.Mutex
-	conns    map[*conn]bool // true: a request is being read or answered
+	conns    map[*conn]bool
 	draining bool
 	stopped  bool
 	wg       sync.WaitGroup
 }
 
+// state is what a connection is at.
+type state uint8
+
+const (
+	fresh   state = iota // nothing has come yet
+	idle                 // between two requests
+	reading              // a request has begun to come
+	serving              // a request is being answered
+	closing              // ended, or to be ended by its own goroutine
+)
+
 type conn struct {
 	net.Conn
 	server *Server
+	state  state // with since guarded by the server's mutex
+	since  time.Duration
 }
 
 // Serve accepts until the listener is closed.
@@ -74,7 +95,7 @@
 			continue
 		}
 		s.Counters.Add(s.Name+"_conns", 1)
-		c := &conn{Conn: nc, server: s}
+		c := &conn{Conn: nc, server: s, since: s.Clock.Now()}
 		if !s.enter(c) {
 			s.Counters.Add(s.Name+"_conns_over", 1)
 			_ = WriteResponse(nc, &Response{Status: 503, Close: true}) // a new connection has room for so little
@@ -85,28 +106,71 @@
 	}
 }
 
+// enter takes a connection in. Where all places are taken, one that is not at
+// work makes room: guards the clients that ask against those that only connect,
+// or asked once and stay.
 func (s *Server) enter(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
 		s.conns = map[*conn]bool{}
 	}
-	if len(s.conns) >= s.MaxConns || s.stopped {
+	if s.stopped || len(s.conns) >= s.MaxConns && !s.evict() {
 		return false
 	}
-	s.conns[c] = false
+	s.conns[c] = true
 	s.wg.Add(1)
 	return true
 }
 
-// mark notes whether a connection is at work, and tells whether it may go on.
-func (s *Server) mark(c *conn, busy bool) bool {
+// evict closes the connection that can best be spared: a new one that stays
+// silent, then the one idle for longest, then any new one, then one whose
+// request has been coming for too long. It tells whether there was one.
+func (s *Server) evict() bool {
+	now := s.Clock.Now()
+	rank := func(c *conn) int {
+		switch age := now - c.since; {
+		case c.state == fresh && age >= silentLimit:
+			return 4
+		case c.state == idle:
+			return 3
+		case c.state == fresh:
+			return 2
+		case c.state == reading && age >= stuckLimit:
+			return 1
+		}
+		return 0
+	}
+	var victim *conn
+	best := 0
+	for c := range s.conns {
+		if r := rank(c); r > best || r == best && r > 0 && c.since < victim.since {
+			victim, best = c, r
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	s.Counters.Add(s.Name+"_conns_evicted", 1)
+	s.end(victim)
+	return true
+}
+
+// end closes a connection that is not at work; its place is free at once.
+func (s *Server) end(c *conn) {
+	c.state = closing
+	delete(s.conns, c)
+	_ = c.Close()
+}
+
+// mark notes what a connection is at, and tells whether it may go on.
+func (s *Server) mark(c *conn, to state) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped && busy && !s.conns[c] || s.draining && !busy {
+	if c.state == closing || s.stopped && to == reading || s.draining && to == idle {
 		return false
 	}
-	s.conns[c] = busy
+	c.state, c.since = to, s.Clock.Now()
 	return true
 }
 
@@ -129,9 +193,9 @@
 }
 
 func (s *Server) closeIdle() {
-	for c, busy := range s.conns {
-		if !busy {
-			_ = c.Close()
+	for c := range s.conns {
+		if c.state == fresh || c.state == idle {
+			s.end(c)
 		}
 	}
 }
@@ -159,21 +223,31 @@
 	next := make(chan error, 1)
 	await := func() { next <- reader.Wait() }
 	go await()
-	for {
-		disarm := s.Clock.Arm(s.Clock.Now()+IdleLimit, expire)
+	for first := true; ; first = false {
+		limit := IdleLimit
+		if first {
+			limit = FirstLimit
+		}
+		disarm := s.Clock.Arm(s.Clock.Now()+limit, expire)
 		err := <-next
-		disarm()
-		if err != nil || !s.mark(c, true) {
+		if err != nil || !s.mark(c, reading) {
+			disarm()
 			return
 		}
 		began := s.Clock.Now()
-		disarm = s.Clock.Arm(began+MessageLimit, expire)
+		if !first {
+			disarm()
+			disarm = s.Clock.Arm(began+MessageLimit, expire)
+		}
 		req, err := reader.Request()
 		disarm()
 		if err != nil {
 			c.complain(err)
 			return
 		}
+		if !s.mark(c, serving) {
+			return
+		}
 		s.Counters.Add(s.Name+"_requests", 1)
 		ctx, gone := context.WithCancel(context.Background())
 		served := make(chan bool, 1)
@@ -190,7 +264,7 @@
 		case alive = <-served:
 		}
 		gone()
-		if !alive || !s.mark(c, false) {
+		if !alive || !s.mark(c, idle) {
 			_ = c.Close() // ends the wait for the next byte
 			<-next
 			return
@@ -221,13 +295,32 @@
 	return true
 }
 
-// complain tells a client what was wrong with a request whose framing is lost.
+// complain tells a client what was wrong with a request whose framing is lost,
+// or that it took too long.
 func (c *conn) complain(err error) {
 	var bad *Error
-	if !errors.As(err, &bad) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		bad = &Error{Status: 408, Reason: "the request took too long to come"}
+	} else if !errors.As(err, &bad) {
 		return // cut short: nobody is there to be told
 	}
 	c.server.Counters.Add(c.server.Name+"_malformed", 1)
 	log.Printf("event=request_malformed front=%s status=%d reason=%q", c.server.Name, bad.Status, bad.Reason)
-	c.write(&Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")})
+	if c.write(&Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")}) {
+		c.linger()
+	}
+}
+
+// linger reads on for a moment before the close: closed over bytes unread, a
+// connection is reset, and the client loses what it was told. What is read, and
+// for how long, is bounded.
+func (c *conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	disarm := c.server.Clock.Arm(c.server.Clock.Now()+lingerLimit, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	defer disarm()
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -78,6 +78,31 @@
 	Counters       *counters.Set
 	ConnectTimeout time.Duration
 	Keepalive      time.Duration
+	Places         *Places // nil: no bound
+}
+
+// Places bounds the connections of all peers together: a descriptor each.
+type Places struct{ left atomic.Int64 }
+
+// NewPlaces makes so many places.
+func NewPlaces(n int) *Places {
+	p := &Places{}
+	p.left.Store(int64(n))
+	return p
+}
+
+func (p *Places) take() bool {
+	if p == nil || p.left.Add(-1) >= 0 {
+		return true
+	}
+	p.left.Add(1)
+	return false
+}
+
+func (p *Places) give() {
+	if p != nil {
+		p.left.Add(1)
+	}
 }
 
 const (
@@ -101,6 +126,7 @@
 
 	conns    []*conn // owned by the actor
 	retiring bool    // ends once nothing is out
+	ended    bool    // starts no connection any more
 }
 
 // conn is one connection. Parts and probes wait on it until it is up.
@@ -116,6 +142,7 @@
 	dead    bool
 	how     end.End     // once dead: what it died of
 	disarm  func()      // of the idle limit
+	shut    func()      // closes it and gives its place back, once
 	free    func() bool // of the close at the actor's end
 }
 
@@ -137,6 +164,10 @@
 				p.stop()
 			}
 		case <-p.ctx.Done():
+			// What still waits is ended too, not left until its time is over.
+			for p.ended = true; len(p.mailbox) > 0; {
+				(<-p.mailbox)()
+			}
 			for _, c := range slices.Clone(p.conns) {
 				p.drop(c, end.Closed)
 			}
@@ -304,7 +335,7 @@
 			}
 		}
 	}
-	if len(p.conns) >= p.room.Conns {
+	if p.ended || len(p.conns) >= p.room.Conns || !p.cfg.Places.take() {
 		return nil
 	}
 	return p.dial()
@@ -345,11 +376,19 @@
 		nc, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", p.addr)
 		disarm()
 		if err == nil {
-			if !p.tell(func() { p.up(c, nc) }) {
+			// Frees a write that blocks when the actor is to end, and what it never hears of.
+			c.shut = sync.OnceFunc(func() {
 				_ = nc.Close()
+				p.cfg.Places.give()
+			})
+			c.free = context.AfterFunc(p.ctx, c.shut)
+			p.tell(func() { p.up(c, nc) })
+			if p.ctx.Err() != nil {
+				c.shut()
 			}
 			return
 		}
+		p.cfg.Places.give()
 		e := end.OfDial(err)
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			e = end.DialTimeout
@@ -365,11 +404,11 @@
 // up sends what has waited for a connection, and starts its reader.
 func (p *Peer) up(c *conn, nc net.Conn) {
 	if c.dead {
-		_ = nc.Close()
+		c.free()
+		c.shut()
 		return
 	}
 	c.nc, c.used = nc, p.cfg.Sink.Now()
-	c.free = context.AfterFunc(p.ctx, func() { _ = nc.Close() }) // frees a write that blocks when the actor is to end
 	p.wg.Go(func() { p.read(c) })
 	p.watchIdle(c)
 	c.release()
@@ -465,7 +504,7 @@
 	p.conns = slices.DeleteFunc(p.conns, func(o *conn) bool { return o == c })
 	if c.nc != nil {
 		c.free()
-		_ = c.nc.Close()
+		c.shut()
 	}
 	if len(c.parts)+len(c.probes) > 0 && e != end.Silent && e != end.CalledOff {
 		log.Printf("event=conn_lost server=%s end=%s parts=%d probes=%d", p.name, e, len(c.parts), len(c.probes))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{ln: ln, conns: make(chan net.Conn, 16), frames: make(chan string, 64)}
+	s := &server{ln: ln, conns: make(chan net.Conn, 64), frames: make(chan string, 64)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -327,3 +327,34 @@
 	s.want(t, end.Garbled)
 	next("end")
 }
+
+// A descriptor that no actor hears of any more is closed all the same, and its place
+// is free again: connects that end while their peer does must not add up over a day.
+func TestPlacesComeBack(t *testing.T) {
+	srv := listen(t)
+	places := peer.NewPlaces(1)
+	s := newSink()
+	cfg := peer.Config{Sink: s, Counters: counters.New(), ConnectTimeout: time.Second, Places: places}
+	first := peer.New(cfg, frame.Dialect{MaxStreams: 1}, "s-1", srv.ln.Addr().String())
+	first.Fit(true)
+	first.Call(attempt("a", 3, 0))
+	<-srv.frames
+	first.Call(attempt("b", 3, 1)) // there is no place for a second connection
+	s.want(t, end.Crowded)
+	first.Close()
+	s.want(t, end.Closed)
+	first.Wait()
+	for range 20 { // some end before their connection is up, some after
+		p := peer.New(cfg, frame.Dialect{MaxStreams: 1}, "s-1", srv.ln.Addr().String())
+		p.Fit(true)
+		p.Call(attempt("c", 3, 2))
+		p.Close()
+		p.Wait()
+	}
+	last := peer.New(cfg, frame.Dialect{MaxStreams: 1}, "s-1", srv.ln.Addr().String())
+	defer func() { last.Close(); last.Wait() }()
+	last.Fit(true)
+	last.Call(attempt("d", 3, 3))
+	for !strings.HasPrefix(<-srv.frames, "Dd.3") {
+	}
+}
