Take SIGHUP: follow discovery to the address that the new file names

Cause: nothing took SIGHUP (cmd/linkpass/main.go), whose default ends the program. Now: the file is read again; a bad one changes nothing (event=config_kept); another address of discovery is followed at once with the whole list, the old watch is given up (discovery.Watcher.Move). The environment goes before the file at the start only: it stays as it was, so after that only the file can bring news.

--- a/cmd/linkpass/config.go
+++ b/cmd/linkpass/config.go
@@ -27,6 +27,8 @@
 	module                  linkpass.Settings
 	host                    settings.Host
 	search                  searchConfig
+
+	fileDiscovery string // what the file names, whatever goes before it
 }
 
 // searchConfig is the file of the search front.
@@ -97,7 +99,7 @@
 	}
 	c := config{name: either("ROUTER_NAME", d.Name), listen: either("ROUTER_LISTEN", d.Listen),
 		discovery: either("ROUTER_DISCOVERY", d.Discovery), known: d.Known,
-		memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
+		fileDiscovery: d.Discovery, memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
 	if c.listen == "" || c.discovery == "" {
 		return config{}, fmt.Errorf("configuration %s: listen or discovery is missing", path)
 	}
--- a/cmd/linkpass/main.go
+++ b/cmd/linkpass/main.go
@@ -13,6 +13,7 @@
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	news := listenForNews()
 	searchFile := flag.String("opensearch", defaultSearchFile, "`file` that says where the search front listens")
 	flag.Parse()
 	cfg, err := load(os.Getenv)
@@ -24,13 +25,19 @@
 	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	print := make(chan os.Signal, 1)
-	signal.Notify(print, syscall.SIGUSR1)
 	p, err := start(cfg)
 	if err == nil {
-		err = p.serve(term, print)
+		err = p.serve(term, news)
 	}
 	if err != nil {
 		log.Fatalf("event=failed err=%q", err)
 	}
 }
+
+// listenForNews takes the signals that end nothing: SIGUSR1 asks for the counters,
+// SIGHUP tells of a new configuration. Without a taker SIGHUP would end the program.
+func listenForNews() <-chan os.Signal {
+	news := make(chan os.Signal, 8)
+	signal.Notify(news, syscall.SIGUSR1, syscall.SIGHUP)
+	return news
+}
--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"linkpass/internal/catalog"
@@ -40,6 +41,7 @@
 	count   *counters.Set
 	core    *coordinator.Core
 	links   *link.Set
+	watcher *discovery.Watcher
 	store   *store.Store // nil: off
 	fronts  []*http1.Server
 	lns     []net.Listener
@@ -48,8 +50,34 @@
 	dials   *peer.Places // connections that all league servers may take
 }
 
+// reload takes a new configuration while the program runs: the address of
+// discovery and the limit on memory. All else holds from the next start on. One
+// that can't be used changes nothing: a coordinator must not end over it.
+func (p *program) reload(env func(string) string) {
+	cfg, err := load(env)
+	if err != nil {
+		p.count.Add("config_bad", 1)
+		log.Printf("event=config_kept err=%q", err)
+		return
+	}
+	p.count.Add("config_reloaded", 1)
+	log.Printf("event=config_reloaded discovery=%s", cfg.fileDiscovery)
+	limitMemory(cfg.memoryMB)
+	// The environment stays as it was at the start, so only the file can bring news.
+	if cfg.fileDiscovery != "" && cfg.fileDiscovery != p.cfg.fileDiscovery {
+		p.watcher.Move(cfg.fileDiscovery)
+	}
+	p.cfg.fileDiscovery = cfg.fileDiscovery
+}
+
+func limitMemory(mb int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+	}
+}
+
 // serve serves until the context ends, then finishes what was taken.
-func (p *program) serve(term context.Context, print <-chan os.Signal) (err error) {
+func (p *program) serve(term context.Context, news <-chan os.Signal) (err error) {
 	cfg := p.cfg
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
@@ -58,9 +86,7 @@
 		defer close(coreDone)
 		p.core.Run(ctx)
 	}()
-	watcher := &discovery.Watcher{Addr: cfg.discovery, Core: p.core, Counters: p.count,
-		Reader: &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds, Cells: cfg.module.Cells, Clock: p.core.Clock}}
-	all.Go(func() { watcher.Run(ctx, cfg.known) })
+	all.Go(func() { p.watcher.Run(ctx, cfg.known) })
 	for i, front := range p.fronts {
 		all.Go(func() {
 			if err := front.Serve(p.lns[i]); err != nil {
@@ -73,8 +99,12 @@
 
 	for serving := true; serving; {
 		select {
-		case <-print:
-			p.count.Print("signal")
+		case sig := <-news:
+			if sig == syscall.SIGHUP {
+				p.reload(os.Getenv)
+			} else {
+				p.count.Print("signal")
+			}
 		case <-term.Done():
 			serving = false
 		}
@@ -94,9 +124,7 @@
 
 // start sets everything up and takes the addresses to listen on.
 func start(cfg config) (p *program, err error) {
-	if cfg.memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.memoryMB) * (1 << 20)))
-	}
+	limitMemory(cfg.memoryMB)
 	if cfg.cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.cores)))
 	}
@@ -134,6 +162,8 @@
 			return nil, err
 		}
 	}
+	p.watcher = discovery.NewWatcher(cfg.discovery, &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds,
+		Cells: cfg.module.Cells, Clock: p.core.Clock}, p.core, p.count)
 	p.links = link.NewSet(p.protocols())
 	p.core.Bind(p.links)
 	return p, nil
--- a/cmd/linkpass/run_test.go
+++ b/cmd/linkpass/run_test.go
@@ -10,11 +10,13 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"linkpass/internal/catalog"
 	"linkpass/internal/discovery"
+	"linkpass/internal/http1"
 	"linkpass/internal/settings"
 	"linkpass/internal/store"
 )
@@ -31,6 +33,7 @@
 type bench struct {
 	*fleet
 	p        *program
+	news     chan os.Signal
 	platform *client
 	search   *client
 	stop     func()
@@ -39,7 +42,7 @@
 
 func newBench(t *testing.T, cells int) *bench {
 	t.Setenv("TMPDIR", t.TempDir())
-	b := &bench{fleet: newFleet(t)}
+	b := &bench{fleet: newFleet(t), news: make(chan os.Signal)}
 	cfg := config{name: "n0", listen: "127.0.0.1:0", discovery: b.addr, seed: 5, memoryMB: 192, sockets: 1024}
 	var err error
 	if cfg.module, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
@@ -65,7 +68,7 @@
 	}
 	term, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- b.p.serve(term, make(chan os.Signal)) }()
+	go func() { done <- b.p.serve(term, b.news) }()
 	b.stop = sync.OnceFunc(func() {
 		stop()
 		if err := <-done; err != nil {
@@ -357,6 +360,62 @@
 	}
 }
 
+// SIGHUP ends nothing: it brings a new configuration, whose address of discovery is
+// followed at once; one that can't be read leaves all as it was.
+func TestNewConfiguration(t *testing.T) {
+	news := listenForNews()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if sig := <-news; sig != syscall.SIGHUP {
+		t.Errorf("took %v", sig)
+	}
+	b := newBench(t, 3)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("ROUTER_CONFIG", path)
+	t.Setenv("ROUTER_DISCOVERY", b.addr) // stays what it was at the start
+	asked := make(chan string)
+	moved := listenLocal(t, func(nc net.Conn) {
+		r := http1.NewReader(nc, 0)
+		for {
+			req, err := r.Request()
+			if err != nil {
+				return
+			}
+			asked <- req.Query
+			_ = http1.WriteResponse(nc, &http1.Response{Status: 200, Body: []byte(`{"version":7,"full":false,"servers":[]}`)})
+		}
+	})
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		b.news <- syscall.SIGHUP
+	}
+	write("{")
+	for b.p.count.Get("config_bad") == 0 { // read before the next one is written
+		time.Sleep(time.Millisecond)
+	}
+	write(`{"name":"n0","listen":"127.0.0.1:1","discovery":"` + moved + `","seed":"8c1f","known":{"servers":[]},"settings":` + settingsText + `}`)
+	if got := <-asked; got != "" {
+		t.Errorf("asked %q of the new address, not the whole list", got)
+	}
+	if got := <-asked; !strings.HasPrefix(got, "after=7&") {
+		t.Errorf("went on with %q", got)
+	}
+	go func() {
+		for range asked {
+		}
+	}()
+	if status, _ := b.query(b.platform, "whole", 15*time.Second, 0, 1, 2); status != 200 {
+		t.Errorf("%d", status)
+	}
+	if b.p.count.Get("config_bad") != 1 || b.p.count.Get("config_reloaded") != 1 {
+		t.Error(b.p.count)
+	}
+	b.rules()
+}
+
 func TestBadConfigurationIsNamed(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -117,6 +117,22 @@
 
 	version int64
 	mailbox chan reply
+	moves   chan string
+}
+
+// NewWatcher makes the watcher of the list at an address.
+func NewWatcher(addr string, reader *Reader, core Core, count *counters.Set) *Watcher {
+	return &Watcher{Addr: addr, Reader: reader, Core: core, Counters: count, mailbox: make(chan reply, 1), moves: make(chan string, 1)}
+}
+
+// Move goes on at another address. Of several moves in a row the last one holds.
+// It must not be called from two goroutines at once.
+func (w *Watcher) Move(addr string) {
+	select {
+	case <-w.moves:
+	default:
+	}
+	w.moves <- addr
 }
 
 // reply is how one call ended. Without a connection the next call makes its own.
@@ -134,7 +150,7 @@
 
 // Run starts from the list last known and watches until the context ends.
 func (w *Watcher) Run(ctx context.Context, known Document) {
-	w.version, w.mailbox = none, make(chan reply, 1)
+	w.version = none
 	if list, err := w.Reader.List(known); err != nil {
 		w.bad(err)
 	} else {
@@ -145,8 +161,17 @@
 	var held *line
 	failing := false
 	for {
-		go func(l *line, version int64) { w.mailbox <- w.call(ctx, l, version) }(held, w.version)
-		r := <-w.mailbox // the call ends with the context
+		call, stop := context.WithCancel(ctx)
+		go func(l *line, version int64) { w.mailbox <- w.call(call, l, version) }(held, w.version)
+		var r reply
+		var next string
+		select {
+		case r = <-w.mailbox: // the call ends with the context
+		case next = <-w.moves:
+			stop()
+			r = <-w.mailbox
+		}
+		stop()
 		held = r.line
 		if ctx.Err() != nil {
 			break
@@ -154,6 +179,10 @@
 		if r.err == nil {
 			r.err = w.take(r.body)
 		}
+		if next != "" {
+			held = w.move(held, next)
+			continue
+		}
 		if failing && r.err == nil {
 			failing = false
 			log.Printf("event=discovery_back addr=%s", w.Addr)
@@ -167,6 +196,8 @@
 			failing = true
 			select {
 			case <-ctx.Done():
+			case next := <-w.moves:
+				held = w.move(held, next)
 			case <-time.After(pause):
 			}
 		}
@@ -176,6 +207,18 @@
 	}
 }
 
+// move gives up the old address. The whole list is asked for at the new one: what
+// the versions of the old one say need not hold there.
+func (w *Watcher) move(held *line, addr string) *line {
+	if held != nil {
+		_ = held.Close()
+	}
+	log.Printf("event=discovery_moved from=%s to=%s", w.Addr, addr)
+	w.Counters.Add("discovery_moved", 1)
+	w.Addr, w.version = addr, none
+	return nil
+}
+
 // call makes one call, on the connection held or on a new one. A connection that
 // can't carry another call is closed and not handed back.
 func (w *Watcher) call(ctx context.Context, l *line, version int64) reply {
@@ -192,7 +235,11 @@
 	}
 	nc := l.Conn // l may be given up below while the function that closes it still runs
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	disarm := w.Core.Arm(w.Core.Now()+watchWait+watchSlack, cancel)
+	limit := watchSlack
+	if version != none {
+		limit += watchWait // only a watch may wait
+	}
+	disarm := w.Core.Arm(w.Core.Now()+limit, cancel)
 	res, err := l.ask(w.Addr, version)
 	disarm()
 	if !stop() || err != nil || res.Status != 200 || res.Close {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -74,7 +74,7 @@
 	core := &fakeCore{lists: make(chan coordinator.List, 4)}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	w := &Watcher{Addr: agent(t, paths, answers), Reader: reader(), Core: core, Counters: counters.New()}
+	w := NewWatcher(agent(t, paths, answers), reader(), core, counters.New())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -144,7 +144,7 @@
 			tries <- struct{}{}
 		}
 	}()
-	w := &Watcher{Addr: ln.Addr().String(), Reader: reader(), Core: &fakeCore{lists: make(chan coordinator.List, 1)}, Counters: counters.New()}
+	w := NewWatcher(ln.Addr().String(), reader(), &fakeCore{lists: make(chan coordinator.List, 1)}, counters.New())
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx, Document{}) }()
 	for range 4 {
@@ -157,3 +157,33 @@
 		t.Errorf("%d lines, counters %s", n, w.Counters)
 	}
 }
+
+// The list's address may change while a watch is held open at the old one: the whole
+// list is asked for at the new one at once, not when the old watch ends.
+func TestMove(t *testing.T) {
+	paths, answers := make(chan string), make(chan string)
+	defer close(answers)
+	newPaths, newAnswers := make(chan string), make(chan string)
+	defer close(newAnswers)
+	core := &fakeCore{lists: make(chan coordinator.List, 4)}
+	ctx, cancel := context.WithCancel(t.Context())
+	w := NewWatcher(agent(t, paths, answers), reader(), core, counters.New())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
+	<-core.lists
+	<-paths // the watch at the old address is never answered
+	w.Move("127.0.0.1:1")
+	w.Move(agent(t, newPaths, newAnswers))
+	if got := <-newPaths; got != "/registry/instances?" {
+		t.Errorf("asked %q of the new address", got)
+	}
+	newAnswers <- `{"version":3,"full":true,"servers":[` + server + `]}`
+	if l := <-core.lists; l.Mode != linkpass.ListFull || len(l.Members) != 1 {
+		t.Errorf("%+v", l)
+	}
+	if got := <-newPaths; !strings.HasPrefix(got, "/registry/instances?after=3&") {
+		t.Errorf("went on with %q", got)
+	}
+	cancel()
+	<-done
+}
