--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"log"
+	"math"
 	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"linkpass/internal/coordinator"
@@ -30,11 +32,15 @@
 	Shards   int
 	Counters *counters.Set
 	Ready    func() bool
+
+	mu   sync.Mutex
+	open map[string]bool // names of the queries being answered
 }
 
 const (
 	maxName    = 128            // bytes of a query's name
 	maxTimeout = 10 * time.Hour // guards the sums of times
+	rounding   = 0.001          // forgives sums of weights that were written with few digits
 )
 
 type body struct {
@@ -66,11 +72,15 @@
 		return &http1.Response{Status: 503, Body: []byte("not ready\n")}
 	}
 	query, status, err := f.query(req)
+	if err == nil && !f.enter(query.Name) {
+		status, err = 409, fmt.Errorf("a query named %.40q is open", query.Name)
+	}
 	if err != nil {
 		f.Counters.Add("platform_rejected", 1)
 		log.Printf("event=query_rejected front=platform status=%d err=%q", status, err)
 		return &http1.Response{Status: status, Body: []byte(err.Error() + "\n")}
 	}
+	defer f.leave(query.Name)
 	query.Began = began
 	done := make(chan coordinator.Answer, 1)
 	query.Reply = func(a coordinator.Answer) { done <- a }
@@ -84,6 +94,27 @@
 	}
 }
 
+// enter notes that a query is open. It guards an open query against another client
+// that takes its name: the parts of the two could not be told apart on the wire.
+func (f *Front) enter(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open == nil {
+		f.open = map[string]bool{}
+	}
+	if f.open[name] {
+		return false
+	}
+	f.open[name] = true
+	return true
+}
+
+func (f *Front) leave(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, name)
+}
+
 // query reads what a client asks; an error comes with its status.
 func (f *Front) query(req *http1.Request) (q coordinator.Query, status int, err error) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(req.Path, "/"), "/")
@@ -124,15 +155,16 @@
 	if b.Expr == nil || len(b.Parts) == 0 {
 		return nil, fmt.Errorf("body needs expr and parts")
 	}
-	seen := map[int]bool{}
+	seen, sum := map[int]bool{}, 0.0
 	parts := make([]coordinator.Part, 0, len(b.Parts))
 	for _, p := range b.Parts {
 		if p.ID == nil || *p.ID < 0 || *p.ID >= f.Shards || seen[*p.ID] {
 			return nil, fmt.Errorf("body: a part names no slice, an unknown one, or one twice")
 		}
-		if p.W < 0 || p.Hint < 0 || p.Hint > 1e12 {
-			return nil, fmt.Errorf("body: part %d has a weight or a hint below 0", *p.ID)
+		if p.W < 0 || p.W > 1 || p.Hint < 0 || p.Hint > 1e12 {
+			return nil, fmt.Errorf("body: part %d has a weight or a hint out of range", *p.ID)
 		}
+		sum += p.W
 		var key uint64
 		if p.Tag != "" {
 			var err error
@@ -144,6 +176,9 @@
 		parts = append(parts, coordinator.Part{Shard: *p.ID, Weight: p.W, Key: key,
 			Hint: time.Duration(p.Hint) * time.Microsecond, Text: []byte(*b.Expr)})
 	}
+	if math.Abs(sum-1) > rounding { // what is missing from such a query could not be told honestly
+		return nil, fmt.Errorf("body: the weights add up to %g", sum)
+	}
 	return parts, nil
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -20,10 +20,14 @@
 type core struct {
 	queries []coordinator.Query
 	answer  coordinator.Answer
+	during  func() // runs while the query is open
 }
 
 func (c *core) Submit(q coordinator.Query) func() {
 	c.queries = append(c.queries, q)
+	if c.during != nil {
+		c.during()
+	}
 	q.Reply(c.answer)
 	return func() {}
 }
@@ -85,6 +89,8 @@
 		request("/checkout", `{"parts":[{"id":6,"w":1}],"expr":"x"}`), request("/checkout", `{"parts":[{"w":1}],"expr":"x"}`),
 		request("/checkout", `{"parts":[{"id":3,"w":1},{"id":3,"w":1}],"expr":"x"}`),
 		request("/checkout", `{"parts":[{"id":3,"w":-1}],"expr":"x"}`), request("/checkout", `{"parts":[{"id":3,"w":1,"tag":"xyz"}],"expr":"x"}`),
+		request("/checkout", `{"parts":[{"id":3,"w":0.5},{"id":4,"w":0.4}],"expr":"x"}`),
+		request("/checkout", `{"parts":[{"id":3,"w":1.5}],"expr":"x"}`), request("/checkout", `{"parts":[{"id":3,"w":1},{"id":4,"w":1}],"expr":"x"}`),
 		{Method: "GET", Path: "/checkout"},
 	} {
 		if res := f.Serve(context.Background(), 0, r); res.Status < 400 || res.Status > 499 {
@@ -97,6 +103,26 @@
 	}
 }
 
+// Who takes the name of another client's open query is told so, and that query goes on.
+func TestNameOfAnOpenQuery(t *testing.T) {
+	c := &core{answer: coordinator.Answer{Verdict: coordinator.Answered}}
+	f := front(c)
+	c.during = func() {
+		c.during = nil
+		if res := f.Serve(context.Background(), 0, request("/checkout", valid)); res.Status != 409 {
+			t.Errorf("while it is open: %d", res.Status)
+		}
+	}
+	for range 2 { // after its end the name is free
+		if res := f.Serve(context.Background(), 0, request("/checkout", valid)); res.Status != 200 {
+			t.Errorf("%d", res.Status)
+		}
+	}
+	if len(c.queries) != 2 {
+		t.Errorf("%d reached the core", len(c.queries))
+	}
+}
+
 func TestBodiesFromAnything(t *testing.T) {
 	f := front(&core{})
 	rapid.Check(t, func(t *rapid.T) {
