--- a/api.go
+++ b/api.go
@@ -68,6 +68,7 @@
 	Tick      time.Duration // least gap between turns
 	Peers     int           // front nodes, this one included
 	Zone      int           // zone of this front node
+	CrossCost float64       // what a part that goes to another zone costs, as a share of its worth
 	Subscribe bool          // changes to the list arrive only when asked for
 	Sized     bool          // server weights state their size
 	Classes   []Class
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -447,9 +447,27 @@
 	}
 	c.count.Add([...]string{Answered: "queries_answered", Refused: "queries_refused",
 		Failed: "queries_failed"}[a.Verdict], 1)
+	if a.Verdict == Refused {
+		c.count.Add(c.refusal(q), 1)
+	}
 	q.Reply(a)
 }
 
+// refusal names the counter of what a refused query had come to.
+func (c *Core) refusal(q *query) string {
+	tried := false
+	for _, p := range q.parts {
+		if !p.in && c.set.MaxAttempts > 0 && p.attempts >= c.set.MaxAttempts {
+			return "refused_spent" // a part had all its attempts
+		}
+		tried = tried || p.attempts > 0
+	}
+	if tried {
+		return "refused_begun"
+	}
+	return "refused_unsent"
+}
+
 func missAll(parts []Part) (out []Miss) {
 	for _, p := range parts {
 		out = append(out, Miss{Shard: p.Shard})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -179,6 +179,7 @@
 		Tick:           s.ms("tick"),
 		Peers:          int(s.needed("peers_total")),
 		Zone:           int(s.number("az")),
+		CrossCost:      s.number("penalties.cross_zone"),
 		Subscribe:      s.values["membership_mode"] == "subscribe",
 		Sized:          s.values["weight_source"] == "nominal" || s.values["weight_source"] == "rough",
 		OverShareWorth: s.number("over_share_worth"),
--- a/router_test.go
+++ b/router_test.go
@@ -772,3 +772,69 @@
 	b.query(40, 0, 0)
 	expect[Refuse](t, b.last, 0)
 }
+
+// Where crossing zones costs, a near-tie goes to this zone; not so while queries are refused, when
+// every bit of room counts.
+func TestNearTiesStayInTheZone(t *testing.T) {
+	for _, c := range []struct {
+		cost    float64
+		pressed bool
+		want    ServerID
+	}{{0.045, false, 1}, {0, false, 2}, {0.045, true, 2}} {
+		set := settings()
+		set.CrossCost = c.cost
+		b := newBed(t, set)
+		b.turn(ListUpdate{Mode: ListDelta, Entries: []Entry{{Server: 2, Cell: 1, State: Ready, Zone: 1}, {Server: 3, Cell: 2, State: Ready, Zone: 2}}})
+		if c.pressed {
+			b.r.pressed = b.now
+		}
+		b.query(10, 0, 0)
+		if s := expect[Send](t, b.after(5*ms, reply(1, 1), reply(2, 0), reply(3, 9)), 1); s[0].Server != c.want {
+			t.Errorf("cost %v, pressed %v: sent to %d, want %d", c.cost, c.pressed, s[0].Server, c.want)
+		}
+	}
+}
+
+// Two sick replicas with long queues refuse nothing while the third is idle.
+func TestOneSoundReplicaIsEnough(t *testing.T) {
+	b := newBed(t, settings())
+	b.known(1, 20*ms, 1)
+	b.query(10, 0, 0)
+	b.after(5*ms, reply(1, 0), reply(2, 99), reply(3, 99))
+	b.query(20, 0, 0)
+	expect[Refuse](t, b.last, 0)
+}
+
+// A server that turns parts away and serves nothing stands still: its pauses grow, so that a part does not
+// spend its attempts within moments; meanwhile queries wait for it. One that serves again starts anew.
+func TestFullServerIsWaitedFor(t *testing.T) {
+	set := settings()
+	set.Reach = 1
+	b := newBed(t, set)
+	b.known(1, 20*ms, 1)
+	b.query(10, 0, 0)
+	last := time.Duration(0)
+	for i := range 3 {
+		b.sentTo(1)
+		b.after(ms, closed(11, i, 1, Full, ms))
+		pause := time.Duration(0)
+		for ; len(of[Probe](b.last)) == 0; pause += ms {
+			b.after(ms)
+		}
+		if pause <= last {
+			t.Errorf("pause %d lasts %v after %v", i, pause, last)
+		}
+		last = pause
+	}
+	b.sentTo(1)
+	b.after(ms, closed(11, 3, 1, Full, ms)) // its last attempt
+	expect[Refuse](t, b.last, 1)
+	expect[Refuse](t, b.query(20, 0, 0), 0)
+	for len(of[Send](b.last)) == 0 {
+		b.after(ms, reply(1, 0))
+	}
+	b.after(20*ms, closed(21, 0, 1, OK, 20*ms))
+	if b.r.servers[1].fulls != 0 {
+		t.Error("what was served does not end the pauses")
+	}
+}
