--- a/router.go
+++ b/router.go
@@ -33,7 +33,8 @@
 	suspectRatio   = 0.55 // a replica under this share of its shard's best health is left out
 	trialRatio     = 0.8  // and under this share it takes one part at a time
 	lostGone       = 2    // probes lost in a row tell that the server, or the way to it, is cut off
-	fullPause      = 0.5  // in median latencies, is how long a server that was full is left alone
+	fullPause      = 0.5  // in median latencies, is how long a server that was full is left alone ...
+	fullDoublings  = 4    // ... and so often that is doubled while nothing is served: it may stand still
 	leastUtil      = 0.4  // bounds how far low reported use raises the cold allowance
 	joinBonus      = 1.1  // in requests in hand, is what sharing a call is worth where calls cost
 	homeBonus      = 50   // the same for staying in this zone, for each unit of what crossing costs
@@ -48,9 +49,9 @@
 	// ... and this, over 1 + ln n as the slowest of n takes so many means, while others are refused and
 	// where attempts may not overlap: what is late there jams what follows.
 	admitTight    = 0.9
-	hopelessShare = 0.9 // of the aim is what the slowest part may be forecast to take
-	pressAims     = 0.5 // for how many aims after a refusal the node counts as pressed for room
-	ageFactor     = 2   // in steady state an open attempt's age is half of its latency on average
+	hopelessShare = 0.65 // of the aim is what the slowest part may be forecast to take
+	pressAims     = 0.5  // for how many aims after a refusal the node counts as pressed for room
+	ageFactor     = 2    // in steady state an open attempt's age is half of its latency on average
 
 	valueLeast, valueMost = 0.4, 1.3 // bound how far worth for work moves those limits
 
@@ -78,6 +79,8 @@
 	lost                int       // probes lost in a row
 	health              []float64 // by class, as of healthAt
 	healthAt, fullUntil time.Duration
+	fulls               int  // pauses after full in a row, with nothing served between
+	down                bool // that pause is for a connect that failed
 }
 
 // race is one turn's probes and the replies so far.
@@ -333,27 +336,26 @@
 	return value
 }
 
-// forecast is the time that a query's parts would take now, on average and at worst: the middle
-// replica's work (the least loaded one is so by chance, and every node sends to it)
-// times what a unit of work took lately, or twice the age of what is out there if that is more
-// (reports may lag or lie). Sick ones count, as a hot shard makes all its holders look sick.
+// forecast is the time that a query's parts would take now, on average and at worst. A shard's is the
+// harmonic mean over its replicas, as they share its parts by how soon each is done: sick ones with long
+// queues cost their share of room, no more. A replica's is its work times what a unit of work took lately,
+// or twice the age of what is out there if that is more (reports may lag or lie).
 func (r *Router) forecast(q *query) (mean, worst float64) {
 	unit := r.unit.middle(r.now, r.typical(q.Class))
 	waiting := float64(r.waiting) / float64(max(1, len(r.order))) // a burst is not out yet, but will be
 	for _, p := range q.parts {
-		var times []float64
-		sum := 0.0
+		replicas, rate := 0.0, 0.0
 		for _, s := range r.reachable(p.shard) {
 			age := float64(time.Duration(s.out)*r.now-s.sentSum) / float64(s.out+1) // few count for less
-			times = append(times, max(unit*(r.work(s)+waiting), ageFactor*age))
-			sum += 1 / times[len(times)-1]
+			pause := float64(max(0, s.fullUntil-r.now))                             // if full now
+			rate += 1 / (pause + max(unit*(r.work(s)+waiting), ageFactor*age))
+			replicas++
 		}
-		if len(times) == 0 {
-			worst = math.Inf(1) // all are down, full or spent: nothing to wait for
+		if replicas == 0 {
+			worst = math.Inf(1) // all are down or spent: nothing to wait for
 		} else {
-			shared := float64(len(times)) / sum
-			worst = max(worst, shared)
-			mean += shared / float64(len(q.parts))
+			worst = max(worst, replicas/rate)
+			mean += replicas / rate / float64(len(q.parts))
 		}
 	}
 	return mean, worst
@@ -362,7 +364,7 @@
 // reachable lists the replicas that may take a part, without those that lost probes in a row if others
 // are left: forecasts guard so against cut links. It could harm where probes are lost by chance alone.
 func (r *Router) reachable(shard int) []*server {
-	return prefer(only(r.holders[shard], r.eligible), func(s *server) bool { return s.lost < lostGone })
+	return prefer(only(r.holders[shard], r.open), func(s *server) bool { return s.lost < lostGone })
 }
 
 // prefer narrows a list to the servers that are good, or leaves it as it is if none are.
@@ -563,11 +565,16 @@
 		r.latency[q.Class].add(r.now, took)
 		r.all.add(r.now, took)
 		r.unit.add(r.now, took/a.load)
-		s.lost = 0
+		s.lost, s.fulls = 0, 0
 	case Errored, Reset:
 		r.score(s, q.Class, 0, healthStep)
 	case Full, ConnectFailed:
-		s.fullUntil = r.now + time.Duration(fullPause*r.typical(q.Class))
+		if r.now >= s.fullUntil { // many parts may be turned away at once
+			pause := fullPause * r.typical(q.Class) * math.Exp2(float64(min(s.fulls, fullDoublings)))
+			s.fullUntil = r.now + time.Duration(pause)
+			s.fulls++
+		}
+		s.down = o.Code == ConnectFailed
 	case TimedOut:
 		r.blame(a)
 	}
@@ -614,8 +621,11 @@
 
 // eligible tells whether a server may be sent a part now by what is known: the list, the cold
 // allowance, a pause after it was full.
-func (r *Router) eligible(s *server) bool {
-	return s.listed && s.entry.State == Ready && r.now >= s.fullUntil &&
+func (r *Router) eligible(s *server) bool { return r.open(s) && r.now >= s.fullUntil }
+
+// open is the same for a server that is only full: a query can wait until it is not.
+func (r *Router) open(s *server) bool {
+	return s.listed && s.entry.State == Ready && (!s.down || r.now >= s.fullUntil) &&
 		(!r.isCold(s.entry) || r.now >= s.coldNext)
 }
 
