Give a connection that fell silent no new parts; end one with a spoilt name

Cause, in internal/peer: pick went on choosing a connection on which nothing came any more. Each part on it hung until overdue, its probes were lost, and the module took the server for sick and refused (1150 of 3931 queries, refused_unsent). Forget did nothing for plain servers. take counted an answer by an unknown name as late, though such a connection serves no further use. Now: a connection without a word for 50 ms (a fifth of the connect timeout) since a probe takes no new work until something comes, and closes once nothing is out. A name never asked there ends the connection. Ruled out: CPU (0.2 of a core), the door (0 turned away), the module's limits (unchanged here).

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -109,6 +109,8 @@
 	mailboxSize = 256 // orders and news that wait
 	ownMargin   = 4   // the idle limit here is the other side's less one part in so many
 	maxProbes   = 512 // out on a connection, those no longer awaited included
+	maxPast     = 256 // names remembered of parts that have ended on a connection
+	muteShare   = 5   // of the connect timeout one part in so many without a word to a probe is too long
 )
 
 // Peer is the actor of one server.
@@ -139,6 +141,9 @@
 	held    int // parts and exclusive probes that wait
 	parts   map[string]coordinator.AttemptID
 	probes  []uint64 // in the order sent; their answers come in it
+	past    []string // latest last: parts that have ended here, whose answers may still come
+	waits   bool     // a probe was sent at asked, and nothing has come since
+	asked   time.Duration
 	dead    bool
 	how     end.End     // once dead: what it died of
 	disarm  func()      // of the idle limit
@@ -268,11 +273,11 @@
 				if at != id {
 					continue
 				}
-				delete(c.parts, name)
+				c.forget(name)
 				if p.room.Exclusive {
 					p.drop(c, end.CalledOff)
-				} else {
-					p.put(c, p.dialect.GiveUp(name))
+				} else if p.put(c, p.dialect.GiveUp(name)) && p.spent(c) {
+					p.drop(c, end.Silent)
 				}
 				return
 			}
@@ -296,27 +301,51 @@
 				return
 			}
 			c.probes = append(c.probes, number)
+			if !c.waits {
+				c.waits, c.asked = true, p.cfg.Sink.Now()
+			}
 			p.put(c, p.dialect.Probe())
 		}, failed)
 	})
 }
 
 // Forget says that a probe is no longer awaited. Where its answer would stand
-// in the way of others, its connection goes.
+// in the way of others, its connection goes. Elsewhere the answer may still come
+// in its place; a mute connection goes once nothing is out.
 func (p *Peer) Forget(number uint64) {
-	if !p.room.Exclusive {
-		return // the answer still comes in its place
-	}
 	p.try(func() {
 		for _, c := range p.conns {
-			if slices.Contains(c.probes, number) {
+			if !slices.Contains(c.probes, number) {
+				continue
+			}
+			if p.room.Exclusive || p.spent(c) {
 				p.drop(c, end.Silent)
-				return
 			}
+			return
 		}
 	})
 }
 
+// mute tells whether nothing has come on a connection since a probe went out on it a
+// while ago. It may stand in half a message, or lead nowhere, and looks sound to the
+// machine all the same: it takes no new work until something comes. One to a server
+// that only stands still for a moment costs another connection and no more.
+func (p *Peer) mute(c *conn) bool {
+	return c.waits && p.cfg.Sink.Now() >= c.asked+p.cfg.ConnectTimeout/muteShare
+}
+
+// spent tells whether a mute connection has nothing out that could still come.
+func (p *Peer) spent(c *conn) bool { return p.mute(c) && len(c.parts)+c.held == 0 }
+
+// forget notes that a part has ended. Its answer may still come.
+func (c *conn) forget(name string) {
+	delete(c.parts, name)
+	if len(c.past) == maxPast {
+		c.past = slices.Delete(c.past, 0, 1)
+	}
+	c.past = append(c.past, name)
+}
+
 // load is how many places of a connection are taken.
 func (p *Peer) load(c *conn) int {
 	if p.room.Exclusive {
@@ -330,7 +359,7 @@
 func (p *Peer) pick(parts int) *conn {
 	for _, up := range []bool{true, false} {
 		for _, c := range p.conns {
-			if (c.nc != nil) == up && p.load(c)+parts <= p.room.Streams {
+			if (c.nc != nil) == up && !p.mute(c) && p.load(c)+parts <= p.room.Streams {
 				return c
 			}
 		}
@@ -547,6 +576,7 @@
 	if c.dead {
 		return
 	}
+	c.waits = false
 	result := coordinator.Result{End: m.End, Report: m.Report, Value: m.Value, Score: m.Score, Hits: m.Hits, At: at}
 	if p.room.Exclusive {
 		m.Probe = m.Probe || len(c.probes) > 0
@@ -561,9 +591,11 @@
 		c.probes = c.probes[1:]
 		p.cfg.Sink.ProbeEnded(number, result)
 	case !m.Probe && out:
-		delete(c.parts, m.Name)
+		c.forget(m.Name)
 		p.cfg.Sink.Ended(id, result)
-	case m.Probe || p.room.Exclusive:
+	case m.Probe || p.room.Exclusive || !slices.Contains(c.past, m.Name):
+		// Guards the parts that are out: an answer with a name that was never asked here is one of
+		// theirs, spoilt, and such a connection is of no further use.
 		p.cfg.Counters.Add("peer_messages_bad", 1)
 		log.Printf("event=message_bad server=%s end=%s err=%q", p.name, end.Garbled, "an answer to nothing")
 		p.drop(c, end.Garbled)
