Tell a connection closed on this side from a broken one

Cause: end.OfRead took net.ErrClosed for any failed read; peer.read logged it as a bad message. Now it is Closed and not logged. TestPlacesComeBack: 400 runs of 400 pass under -race; end_test names the case.

--- a/internal/end/end.go
+++ b/internal/end/end.go
@@ -95,7 +95,7 @@
 func OfRead(err error, clean bool) End {
 	var op *net.OpError
 	switch {
-	case clean:
+	case clean, errors.Is(err, net.ErrClosed): // the latter: on this side
 		return Closed
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.As(err, &op),
 		errors.Is(err, io.ErrUnexpectedEOF): // cut inside a message
--- a/internal/end/end_test.go
+++ b/internal/end/end_test.go
@@ -41,7 +41,7 @@
 		clean bool
 		want  End
 	}{
-		{io.EOF, true, Closed}, {io.ErrUnexpectedEOF, false, Broken},
+		{io.EOF, true, Closed}, {op(net.ErrClosed), false, Closed}, {io.ErrUnexpectedEOF, false, Broken},
 		{op(syscall.ECONNRESET), false, Broken}, {errors.New("odd"), false, Garbled},
 	} {
 		if got := OfRead(c.err, c.clean); got != c.want {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -559,7 +559,7 @@
 		at := p.cfg.Sink.Now()
 		if err != nil {
 			e = end.OfRead(err, errors.Is(err, io.EOF))
-		} else if m, e, err = r.Next(); err != nil {
+		} else if m, e, err = r.Next(); err != nil && !errors.Is(err, net.ErrClosed) { // not closed on this side
 			p.cfg.Counters.Add("peer_messages_bad", 1)
 			log.Printf("event=message_bad server=%s end=%s err=%q", p.name, e, err)
 		}
