Take over the platform's listening socket; a door and one gate for clients

Seen: the second process of an upgrade ended with 'address already in use' (run.go, listen), so n1 crashed. The listener now comes from $ROUTER_LISTEN_FD; the door (internal/operator) says yes by the state machine that /health/ready and SIGTERM share. SIGTERM with that listener: accept no more at once, every answer the last of its connection, idle ones closed 400 ms later by their own goroutine after a look for bytes that were not read. Deadlines are armed without waiting for the core's mailbox (Core.Arm), so the door waits for nobody. Ruled out: closes that cross a request.

--- a/cmd/linkpass/config.go
+++ b/cmd/linkpass/config.go
@@ -20,6 +20,8 @@
 // config is what the program is told at its start.
 type config struct {
 	name, listen, discovery string
+	operator                string // "": no door
+	listenFD                int    // 0: the process opens its own socket
 	seed                    uint64
 	memoryMB, sockets       int
 	cores                   float64
@@ -67,6 +69,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -98,11 +101,16 @@
 		return otherwise
 	}
 	c := config{name: either("ROUTER_NAME", d.Name), listen: either("ROUTER_LISTEN", d.Listen),
-		discovery: either("ROUTER_DISCOVERY", d.Discovery), known: d.Known,
+		discovery: either("ROUTER_DISCOVERY", d.Discovery), operator: either("ROUTER_OPERATOR", d.Operator), known: d.Known,
 		fileDiscovery: d.Discovery, memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
 	if c.listen == "" || c.discovery == "" {
 		return config{}, fmt.Errorf("configuration %s: listen or discovery is missing", path)
 	}
+	if fd := env("ROUTER_LISTEN_FD"); fd != "" {
+		if c.listenFD, err = strconv.Atoi(fd); err != nil || c.listenFD <= 2 {
+			return config{}, fmt.Errorf("ROUTER_LISTEN_FD %q is no descriptor to listen on", fd)
+		}
+	}
 	if c.seed, err = strconv.ParseUint(d.Seed, 16, 64); err != nil {
 		return config{}, fmt.Errorf("configuration %s: seed: %w", path, err)
 	}
--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -21,17 +21,21 @@
 	"linkpass/internal/http1"
 	"linkpass/internal/link"
 	"linkpass/internal/opensearch"
+	"linkpass/internal/operator"
 	"linkpass/internal/peer"
 	"linkpass/internal/platform"
 	"linkpass/internal/store"
 )
 
 const (
-	grace = 450 * time.Millisecond // after SIGTERM new connections still come
+	grace      = 450 * time.Millisecond // after SIGTERM new connections still come
+	lastCalls  = 600 * time.Millisecond // after SIGTERM connections that ask nothing are kept
+	killAfter  = 3 * time.Second
+	killMargin = 350 * time.Millisecond // of the 700 past that: for the last answers
 
 	memoryShare    = 0.6 // of the limit is the collector's; the rest is for what it does not see
 	defaultSockets = 1024
-	ownSockets     = 24 // descriptors for the program itself: its streams, listeners, discovery, the store
+	ownSockets     = 24 + operator.MaxCallers // descriptors for the program itself: its streams, listeners, discovery, the store, the door
 	mailboxSize    = 1024
 )
 
@@ -43,8 +47,11 @@
 	links   *link.Set
 	watcher *discovery.Watcher
 	store   *store.Store // nil: off
+	gate    operator.Gate
 	fronts  []*http1.Server
-	lns     []net.Listener
+	lns     []net.Listener // of the fronts, in their order
+	door    *http1.Server  // nil: none
+	doorLn  net.Listener
 	current func() *catalog.Catalog
 	clients int          // connections that each front may hold
 	dials   *peer.Places // connections that all league servers may take
@@ -80,7 +87,7 @@
 func (p *program) serve(term context.Context, news <-chan os.Signal) (err error) {
 	cfg := p.cfg
 	ctx, cancel := context.WithCancel(context.Background())
-	var all sync.WaitGroup
+	var all, accepting sync.WaitGroup
 	coreDone := make(chan struct{})
 	go func() {
 		defer close(coreDone)
@@ -88,17 +95,19 @@
 	}()
 	all.Go(func() { p.watcher.Run(ctx, cfg.known) })
 	for i, front := range p.fronts {
-		all.Go(func() {
-			if err := front.Serve(p.lns[i]); err != nil {
-				log.Printf("event=front_failed front=%s err=%q", front.Name, err)
-			}
-		})
-		log.Printf("event=listening front=%s addr=%s", front.Name, p.lns[i].Addr())
+		accepting.Go(func() { accept(front, p.lns[i]) })
+	}
+	if p.door != nil {
+		all.Go(func() { accept(p.door, p.doorLn) })
 	}
 	log.Printf("event=started name=%s discovery=%s servers=%d", cfg.name, cfg.discovery, len(cfg.known.Servers))
 
+	usable := p.watcher.Usable()
 	for serving := true; serving; {
 		select {
+		case <-usable:
+			usable = nil
+			p.gate.Open()
 		case sig := <-news:
 			if sig == syscall.SIGHUP {
 				p.reload(os.Getenv)
@@ -109,19 +118,40 @@
 			serving = false
 		}
 	}
-	p.stop()
+	stopping := make(chan struct{})
+	go func() {
+		defer close(stopping)
+		p.stop(&accepting)
+	}()
+	select {
+	case <-stopping:
+	case <-time.After(p.patience()):
+		// The platform is about to kill: what is still open is failed while that can be told.
+	}
 	cancel()
 	<-coreDone
+	<-stopping
 	p.links.Close()
-	all.Wait()
 	if p.store != nil {
 		err = p.store.Close()
 	}
+	if p.door != nil {
+		_ = p.doorLn.Close()
+		p.door.Stop()
+	}
+	all.Wait()
 	p.count.Print("exit")
 	log.Printf("event=stopped")
 	return err
 }
 
+func accept(s *http1.Server, ln net.Listener) {
+	log.Printf("event=listening front=%s addr=%s", s.Name, ln.Addr())
+	if err := s.Serve(ln); err != nil {
+		log.Printf("event=front_failed front=%s err=%q", s.Name, err)
+	}
+}
+
 // start sets everything up and takes the addresses to listen on.
 func start(cfg config) (p *program, err error) {
 	limitMemory(cfg.memoryMB)
@@ -146,17 +176,27 @@
 	p.dials = peer.NewPlaces(servers)
 	defer func() {
 		if err != nil {
-			for _, ln := range p.lns {
-				_ = ln.Close()
+			for _, ln := range append(p.lns, p.doorLn) {
+				if ln != nil {
+					_ = ln.Close()
+				}
 			}
 		}
 	}()
 	thin := &platform.Front{Core: p.core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: p.count}
-	server, err := p.listen("platform", cfg.listen, thin)
+	thin.Ready = p.gate.Ready
+	ln, err := clientListener(cfg)
 	if err != nil {
 		return nil, err
 	}
-	thin.Ready = func() bool { return !server.Draining() }
+	p.add("platform", ln, thin)
+	if cfg.operator != "" {
+		if p.doorLn, err = net.Listen("tcp", cfg.operator); err != nil {
+			return nil, fmt.Errorf("operators' door: %w", err)
+		}
+		door := &operator.Door{Gate: &p.gate, Figures: func() []byte { return nil }}
+		p.door = &http1.Server{Name: "operator", Handler: door, Clock: p.core, Counters: p.count, MaxConns: operator.MaxCallers}
+	}
 	if cfg.search.Listen != "" {
 		if err := p.search(); err != nil {
 			return nil, err
@@ -177,16 +217,31 @@
 	return max(1, rest/2/fronts), rest - rest/2
 }
 
-// listen sets up one front on an address.
-func (p *program) listen(name, addr string, h http1.Handler) (*http1.Server, error) {
-	ln, err := net.Listen("tcp", addr)
+// clientListener is where clients come in: the platform's socket, if it holds one that
+// outlives this process, or a socket of our own. The platform's is only ever closed
+// here, never shut: others accept on it too.
+func clientListener(cfg config) (net.Listener, error) {
+	if cfg.listenFD == 0 {
+		ln, err := net.Listen("tcp", cfg.listen)
+		if err != nil {
+			return nil, fmt.Errorf("front platform: %w", err)
+		}
+		return ln, nil
+	}
+	f := os.NewFile(uintptr(cfg.listenFD), "ROUTER_LISTEN_FD")
+	defer f.Close()
+	ln, err := net.FileListener(f)
 	if err != nil {
-		return nil, fmt.Errorf("front %s: %w", name, err)
+		return nil, fmt.Errorf("front platform: ROUTER_LISTEN_FD %d: %w", cfg.listenFD, err)
 	}
-	server := &http1.Server{Name: name, Handler: h, Clock: p.core, Counters: p.count,
-		MaxConns: p.clients}
+	return ln, nil
+}
+
+// add sets up one front on a listener.
+func (p *program) add(name string, ln net.Listener, h http1.Handler) {
+	server := &http1.Server{Name: name, Handler: h, Clock: p.core, Counters: p.count, MaxConns: p.clients}
 	p.lns, p.fronts = append(p.lns, ln), append(p.fronts, server)
-	return server, nil
+	p.gate.Follow(server)
 }
 
 // search sets up the search front, and the store where there is one.
@@ -206,10 +261,15 @@
 	for i, name := range p.cfg.host.Classes {
 		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline})
 	}
-	if _, err = p.listen("search", p.cfg.search.Listen, front); err != nil && p.store != nil {
-		_ = p.store.Close()
+	ln, err := net.Listen("tcp", p.cfg.search.Listen)
+	if err != nil {
+		if p.store != nil {
+			_ = p.store.Close()
+		}
+		return fmt.Errorf("front search: %w", err)
 	}
-	return err
+	p.add("search", ln, front)
+	return nil
 }
 
 // protocols tells how league servers are spoken to.
@@ -228,17 +288,32 @@
 	}
 }
 
-// stop goes on accepting for the grace, then finishes what was taken.
-func (p *program) stop() {
-	log.Printf("event=stopping grace_ms=%d", grace.Milliseconds())
-	for _, front := range p.fronts {
-		front.Drain()
+// stop takes in what still comes, then finishes what was taken. Where the platform holds
+// the socket another process accepts on it, and this one stops at once.
+func (p *program) stop(accepting *sync.WaitGroup) {
+	p.gate.End()
+	wait := grace
+	if p.cfg.listenFD != 0 {
+		wait = 0
 	}
-	time.Sleep(grace)
+	log.Printf("event=stopping grace_ms=%d", wait.Milliseconds())
+	time.Sleep(wait)
 	for _, ln := range p.lns {
 		_ = ln.Close()
 	}
+	accepting.Wait()
+	time.Sleep(lastCalls - wait)
 	for _, front := range p.fronts {
 		front.Stop()
 	}
 }
+
+// patience is how long after SIGTERM the process may take: the platform kills once the
+// longest deadline, or 3 s where that is longer, and 0.7 s have passed.
+func (p *program) patience() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range p.cfg.module.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, killAfter) + killMargin
+}
--- a/cmd/linkpass/run_test.go
+++ b/cmd/linkpass/run_test.go
@@ -40,7 +40,7 @@
 	asked    int
 }
 
-func newBench(t *testing.T, cells int) *bench {
+func newBench(t *testing.T, cells int, changes ...func(*config)) *bench {
 	t.Setenv("TMPDIR", t.TempDir())
 	b := &bench{fleet: newFleet(t), news: make(chan os.Signal)}
 	cfg := config{name: "n0", listen: "127.0.0.1:0", discovery: b.addr, seed: 5, memoryMB: 192, sockets: 1024}
@@ -63,6 +63,9 @@
 		"players": {Class: "whole", Slices: []int{0, 1, 2}}, "tables": {Class: "share", Slices: []int{0, 1}}, "lost": {Class: "whole", Slices: []int{0, 77}}}},
 		Store: store.Config{ID: "a", Dir: t.TempDir(), Pace: 0.2, Listener: raft,
 			Members: []store.Member{{ID: "a", Raft: raft.Addr().String(), HTTP: "here"}}}}
+	for _, change := range changes {
+		change(&cfg)
+	}
 	if b.p, err = start(cfg); err != nil {
 		t.Fatal(err)
 	}
@@ -467,3 +470,59 @@
 		}
 	}
 }
+
+// A new version takes the listening socket that the platform holds. The old one stops
+// accepting at once, answers all that it accepted, and leaves the socket as it was.
+func TestANewVersionTakesOverTheSocket(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	fd := func() int { // as the platform hands it to each process
+		f, err := held.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		n, err := syscall.Dup(int(f.Fd()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	old := newBench(t, 3, func(c *config) { c.listenFD = fd() })
+	kept := connect(t, held.Addr().String())
+	if status, _ := old.query(kept, "whole", 15*time.Second, 0); status != 200 {
+		t.Fatal(status)
+	}
+	old.servers["s-0a"].set("wait")
+	old.servers["s-0b"].set("wait")
+	answered := make(chan int)
+	go func() { status, _ := old.query(kept, "whole", 15*time.Second, 0); answered <- status }()
+	for n := 0; n < 2; _, n = old.since(0) {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); old.stop() }()
+	for !errors.Is(old.p.lns[0].(*net.TCPListener).SetDeadline(time.Time{}), net.ErrClosed) {
+		time.Sleep(time.Millisecond)
+	}
+	young := newBench(t, 3, func(c *config) { c.listenFD = fd() })
+	<-young.p.watcher.Usable()
+	next := connect(t, held.Addr().String())
+	if status, _ := young.query(next, "whole", 15*time.Second, 0); status != 200 {
+		t.Error(status)
+	}
+	old.servers["s-0a"].set("go")
+	old.servers["s-0b"].set("go")
+	if status := <-answered; status != 200 {
+		t.Errorf("what the old process had taken ended with %d", status)
+	}
+	<-stopped
+	if status, _ := young.query(connect(t, held.Addr().String()), "whole", 15*time.Second, 1); status != 200 {
+		t.Error(status)
+	}
+	old.rules()
+	young.rules()
+}
--- a/cmd/linkpass/standin_test.go
+++ b/cmd/linkpass/standin_test.go
@@ -45,7 +45,7 @@
 	cell  int
 	addr  string
 	mu    sync.Mutex
-	mode  string // "", "error", "full", "silent", "reset", "plain only"
+	mode  string // "", "error", "full", "silent", "reset", "wait" (for another), "plain only"
 	delay time.Duration
 }
 
@@ -155,6 +155,9 @@
 	s.fleet.parts = append(s.fleet.parts, p)
 	s.fleet.mu.Unlock()
 	time.Sleep(s.delay) // its work
+	for s.how() == "wait" {
+		time.Sleep(time.Millisecond)
+	}
 	return s.how()
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -161,10 +161,14 @@
 	links   Links
 	count   *counters.Set
 	mailbox chan func()
+	noted   chan struct{} // there are notes
 	done    chan struct{}
 	epoch   time.Time
 	probeTO time.Duration
 
+	notesMu sync.Mutex
+	notes   []func() // what other actors want done to the deadlines
+
 	// Owned by the goroutine of Run.
 	dues     deadline.Queue
 	events   []linkpass.Event
@@ -233,7 +237,7 @@
 	}
 	return &Core{
 		set: c.Settings, router: router, count: c.Counters, probeTO: c.ProbeTimeout,
-		mailbox: make(chan func(), max(64, c.Mailbox)), done: make(chan struct{}),
+		mailbox: make(chan func(), max(64, c.Mailbox)), done: make(chan struct{}), noted: make(chan struct{}, 1),
 		epoch:   time.Now().Add(-originAge),
 		queries: map[linkpass.RequestID]*query{}, parts: map[linkpass.RequestID]*part{},
 		attempts: map[AttemptID]*attempt{}, probes: map[uint64]*probe{},
@@ -268,22 +272,31 @@
 
 // Arm sets a deadline in the core's structure on behalf of another actor. fire
 // runs on the core's goroutine and must not block. The result takes it out.
+// Neither waits, however full the mailbox is.
 func (c *Core) Arm(at time.Duration, fire func()) (disarm func()) {
 	var e *deadline.Entry
-	off := false
-	c.post(func() {
-		if !off {
-			e = c.dues.Arm(at, fire)
-		}
-	})
-	var once sync.Once
-	return func() {
-		once.Do(func() {
-			c.post(func() {
-				off = true
-				c.dues.Disarm(e)
-			})
-		})
+	c.aside(func() { e = c.dues.Arm(at, fire) })
+	return sync.OnceFunc(func() { c.aside(func() { c.dues.Disarm(e) }) })
+}
+
+// aside leaves a note about the deadlines for the core; notes are taken in order.
+func (c *Core) aside(note func()) {
+	c.notesMu.Lock()
+	c.notes = append(c.notes, note)
+	c.notesMu.Unlock()
+	select {
+	case c.noted <- struct{}{}:
+	default: // the core will look already
+	}
+}
+
+func (c *Core) takeNotes() {
+	c.notesMu.Lock()
+	notes := c.notes
+	c.notes = nil
+	c.notesMu.Unlock()
+	for _, note := range notes {
+		note()
 	}
 }
 
@@ -326,6 +339,8 @@
 		case m := <-c.mailbox:
 			m()
 			c.drain()
+		case <-c.noted:
+			c.takeNotes()
 		case <-timer.C:
 		case <-ctx.Done():
 			close(c.done)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"linkpass"
@@ -25,6 +26,7 @@
 	watchWait  = time.Second
 	watchSlack = 750 * time.Millisecond // past the wait: discovery says nothing
 	pause      = 50 * time.Millisecond  // before a new connection; a renewal has 200 ms
+	firstWait  = 300 * time.Millisecond // for discovery's first word, before the list last known will do
 	dialLimit  = 500 * time.Millisecond // the agent is on this machine
 	maxList    = 1 << 20                // bytes of a list
 
@@ -120,13 +122,22 @@
 	version int64
 	mailbox chan reply
 	moves   chan string
+	usable  func()
+	first   chan struct{}
 }
 
 // NewWatcher makes the watcher of the list at an address.
 func NewWatcher(addr string, reader *Reader, core Core, count *counters.Set) *Watcher {
-	return &Watcher{Addr: addr, Reader: reader, Core: core, Counters: count, mailbox: make(chan reply, 1), moves: make(chan string, 1)}
+	w := &Watcher{Addr: addr, Reader: reader, Core: core, Counters: count, mailbox: make(chan reply, 1),
+		moves: make(chan string, 1), first: make(chan struct{})}
+	w.usable = sync.OnceFunc(func() { close(w.first) })
+	return w
 }
 
+// Usable is closed once there is a list to work with: what discovery has answered
+// or, where it says nothing for a moment, the servers last known.
+func (w *Watcher) Usable() <-chan struct{} { return w.first }
+
 // Move goes on at another address. Of several moves in a row the last one holds.
 // It must not be called from two goroutines at once.
 func (w *Watcher) Move(addr string) {
@@ -159,6 +170,9 @@
 		list.Mode = linkpass.ListCached
 		w.version = known.Version
 		w.Core.List(list)
+		if len(list.Members) > 0 {
+			defer w.Core.Arm(w.Core.Now()+firstWait, w.usable)()
+		}
 	}
 	var held *line
 	failing := false
@@ -290,5 +304,6 @@
 	if d.Full || len(list.Members) > 0 {
 		w.Core.List(list)
 	}
+	w.usable()
 	return nil
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -114,14 +114,18 @@
 }
 func (c *clock) pass(d time.Duration) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.now += d
+	var due []func()
 	for at, fire := range c.due {
 		if *at <= c.now {
-			fire() // none of the server's takes a lock of the clock
+			due = append(due, fire)
 			delete(c.due, at)
 		}
 	}
+	c.mu.Unlock()
+	for _, fire := range due {
+		fire()
+	}
 }
 
 // serve starts a server whose handler hands each request to the test.
@@ -187,6 +191,21 @@
 		time.Sleep(time.Millisecond)
 	}
 	s.Drain()
+	s.Resume() // all as before: the time of the first drain is void
+	s.Clock.(*clock).pass(idleGrace)
+	s.Drain()
+	s.Clock.(*clock).pass(idleGrace - 1) // an idle connection may be used once more
+	ask("/last")
+	leave["/last"] <- struct{}{}
+	if res, err := r.Response(); err != nil || res.Status != 200 || !res.Close {
+		t.Errorf("within the drain: %+v %v", res, err)
+	}
+	nc, r = dial(t, addr) // one that says nothing is closed a little later
+	for !s.at(fresh) {
+		time.Sleep(time.Millisecond)
+	}
+	s.Clock.(*clock).pass(idleGrace)
+	s.Clock.(*clock).pass(drainSweep)
 	if err := r.Wait(); !errors.Is(err, io.EOF) {
 		t.Errorf("the idle connection stayed: %v", err)
 	}
@@ -270,3 +289,33 @@
 		t.Errorf("the silent connection stayed: %v", err)
 	}
 }
+
+// A request that arrived just as its connection was to be closed as idle is served.
+func TestARequestOnItsWayOutlivesTheCloseOfIdleConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := &Server{Name: "test", Clock: new(clock), Counters: counters.New(), MaxConns: 9,
+		Handler: HandlerFunc(func(context.Context, time.Duration, *Request) *Response { return &Response{Status: 200} })}
+	nc, r := dial(t, ln.Addr().String())
+	_ = WriteRequest(nc, "GET", "/", "x", nil, nil)
+	there, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &conn{Conn: there, server: s}
+	for !c.pending() {
+		time.Sleep(time.Millisecond)
+	}
+	s.Drain()
+	c.expire()
+	if !s.enter(c) {
+		t.Fatal("no room")
+	}
+	c.serve()
+	if res, err := r.Response(); err != nil || res.Status != 200 || !res.Close {
+		t.Errorf("%+v %v", res, err)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"linkpass/internal/counters"
@@ -44,6 +45,11 @@
 	lingerBytes  = 256 << 10              // of what it still sends are read meanwhile
 	silentLimit  = 250 * time.Millisecond // a new connection that has said nothing for so long goes first
 	stuckLimit   = time.Second            // a request so long on its way makes room for others
+
+	// While the server drains: idle connections have so long to be used once more, and
+	// a look is taken so often at those that say nothing or do not come to an end.
+	idleGrace  = 400 * time.Millisecond
+	drainSweep = 200 * time.Millisecond
 )
 
 // Server serves one listener.
@@ -58,6 +64,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	draining bool
+	round    int // of draining: what was armed in an earlier one is void
 	stopped  bool
 	wg       sync.WaitGroup
 }
@@ -115,7 +122,7 @@
 	if s.conns == nil {
 		s.conns = map[*conn]bool{}
 	}
-	if s.stopped || len(s.conns) >= s.MaxConns && !s.evict() {
+	if len(s.conns) >= s.MaxConns && !s.evict() {
 		return false
 	}
 	s.conns[c] = true
@@ -167,37 +174,70 @@
 func (s *Server) mark(c *conn, to state) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == closing || s.stopped && to == reading || s.draining && to == idle {
+	if c.state == closing || s.draining && to == idle {
 		return false
 	}
 	c.state, c.since = to, s.Clock.Now()
+	if to == reading {
+		_ = c.SetReadDeadline(time.Time{}) // what was to end the wait must not end the request
+	}
 	return true
 }
 
-// Drain makes every answer the last of its connection and closes the idle
-// connections; new ones are still served.
+// Drain makes every answer the last of its connection. New connections are still
+// served; those that stay idle are closed a little later.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	s.closeIdle()
+	s.round++
+	s.sweepAfter(idleGrace, s.round)
 }
 
-// Stop takes no further request and waits until those taken are answered.
-func (s *Server) Stop() {
+// Resume keeps connections again.
+func (s *Server) Resume() {
 	s.mu.Lock()
-	s.draining, s.stopped = true, true
-	s.closeIdle()
-	s.mu.Unlock()
-	s.wg.Wait()
+	defer s.mu.Unlock()
+	s.draining = s.stopped
+	s.round++
+}
+
+// sweepAfter arranges for the next look at the connections of a draining server.
+func (s *Server) sweepAfter(wait time.Duration, round int) {
+	s.Clock.Arm(s.Clock.Now()+wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.round == round && !s.stopped {
+			s.sweep()
+			s.sweepAfter(drainSweep, round)
+		}
+	})
+}
+
+// sweep ends what would otherwise stay: idle connections, new ones that have said
+// nothing for long enough, requests that do not come to their end.
+func (s *Server) sweep() {
+	now := s.Clock.Now()
+	for c := range s.conns {
+		switch age := now - c.since; {
+		case c.state == idle, c.state == fresh && age >= idleGrace, c.state == reading && age >= stuckLimit:
+			c.expire()
+		}
+	}
 }
 
-func (s *Server) closeIdle() {
+// Stop waits until all connections have ended: each after the answer to what it has
+// begun to ask. Serve must have returned.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	s.draining, s.stopped = true, true
 	for c := range s.conns {
 		if c.state == fresh || c.state == idle {
-			s.end(c)
+			c.expire()
 		}
 	}
+	s.mu.Unlock()
+	s.wg.Wait()
 }
 
 // Draining tells whether the server is about to stop.
@@ -207,6 +247,28 @@
 	return s.draining
 }
 
+// expire ends the wait for bytes; it never blocks. Whether the connection is then
+// closed is up to its own goroutine.
+func (c *conn) expire() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
+// pending tells whether bytes wait that were not read yet.
+func (c *conn) pending() (some bool) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = rc.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
 // serve reads requests one after another. While one is being answered the next
 // byte is awaited, which shows at once when the client goes away.
 func (c *conn) serve() {
@@ -219,26 +281,30 @@
 		s.wg.Done()
 	}()
 	reader := NewReader(c, s.MaxBody)
-	expire := func() { _ = c.SetReadDeadline(time.Unix(1, 0)) } // never blocks
 	next := make(chan error, 1)
 	await := func() { next <- reader.Wait() }
 	go await()
+	limit := s.Clock.Now() + FirstLimit
 	for first := true; ; first = false {
-		limit := IdleLimit
-		if first {
-			limit = FirstLimit
+		if !first {
+			limit = s.Clock.Now() + IdleLimit
 		}
-		disarm := s.Clock.Arm(s.Clock.Now()+limit, expire)
+		disarm := s.Clock.Arm(limit, c.expire)
 		err := <-next
+		for errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
+			// Guards a request on its way against the close of an idle connection.
+			_ = c.SetReadDeadline(time.Time{})
+			err = reader.Wait()
+		}
+		disarm()
 		if err != nil || !s.mark(c, reading) {
-			disarm()
 			return
 		}
 		began := s.Clock.Now()
 		if !first {
-			disarm()
-			disarm = s.Clock.Arm(began+MessageLimit, expire)
+			limit = began + MessageLimit
 		}
+		disarm = s.Clock.Arm(limit, c.expire)
 		req, err := reader.Request()
 		disarm()
 		if err != nil {
--- /dev/null
+++ b/internal/operator/door.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"context"
+	"net/textproto"
+	"time"
+
+	"linkpass/internal/http1"
+)
+
+// Limits of the door. Its callers have descriptors set aside for them, so that no
+// number of clients keeps staff out; those who say nothing make room for the next.
+const (
+	MaxCallers = 8
+	Form       = "text/plain; charset=utf-8"
+)
+
+// Door answers the operators' calls, one on a connection. It reads the gate and the
+// figures and waits for nobody.
+type Door struct {
+	Gate    *Gate
+	Figures func() []byte
+}
+
+// Serve answers one call.
+func (d *Door) Serve(_ context.Context, _ time.Duration, req *http1.Request) *http1.Response {
+	calls := map[string]struct {
+		method string
+		answer func() (status int, body []byte)
+	}{
+		"/v1/readyz":  {"GET", func() (int, []byte) { return said(d.Gate.State(), Serving) }},
+		"/v1/metrics": {"GET", func() (int, []byte) { return 200, d.Figures() }},
+		"/v1/coordinator/drain": {"PUT", func() (int, []byte) {
+			status, body := said(d.Gate.Drain(), Drained, Ending) // an ending process empties itself too
+			return status, body
+		}},
+		"/v1/coordinator/activate": {"PUT", func() (int, []byte) { return said(d.Gate.Activate(), Serving, Starting) }},
+	}
+	res := &http1.Response{Close: true, Header: textproto.MIMEHeader{"Content-Type": {Form}}}
+	switch call, known := calls[req.Path]; {
+	case !known:
+		res.Status, res.Body = 404, []byte("no such call\n")
+	case call.method != req.Method:
+		res.Status, res.Body = 405, []byte("use "+call.method+"\n")
+		res.Header["Allow"] = []string{call.method}
+	default:
+		res.Status, res.Body = call.answer()
+	}
+	return res
+}
+
+// said words a state: yes if it is one of those asked for.
+func said(state State, yes ...State) (status int, body []byte) {
+	status = 503
+	for _, s := range yes {
+		if s == state {
+			status = 200
+		}
+	}
+	return status, []byte(state.String() + "\n")
+}
