--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -43,6 +43,7 @@
 type program struct {
 	cfg     config
 	count   *counters.Set
+	figures *counters.Figures
 	core    *coordinator.Core
 	links   *link.Set
 	watcher *discovery.Watcher
@@ -161,9 +162,10 @@
 	if cfg.sockets <= 0 {
 		cfg.sockets = defaultSockets
 	}
-	p = &program{cfg: cfg, count: counters.New(), current: func() *catalog.Catalog { return &cfg.search.Catalog }}
+	p = &program{cfg: cfg, count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
+		current: func() *catalog.Catalog { return &cfg.search.Catalog }}
 	p.core, err = coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
-		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Mailbox: mailboxSize})
+		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize})
 	if err != nil {
 		return nil, err
 	}
@@ -194,7 +196,7 @@
 		if p.doorLn, err = net.Listen("tcp", cfg.operator); err != nil {
 			return nil, fmt.Errorf("operators' door: %w", err)
 		}
-		door := &operator.Door{Gate: &p.gate, Figures: func() []byte { return nil }}
+		door := &operator.Door{Gate: &p.gate, Figures: p.figures}
 		p.door = &http1.Server{Name: "operator", Handler: door, Clock: p.core, Counters: p.count, MaxConns: operator.MaxCallers}
 	}
 	if cfg.search.Listen != "" {
@@ -274,7 +276,7 @@
 
 // protocols tells how league servers are spoken to.
 func (p *program) protocols() link.Protocols {
-	common := peer.Config{Sink: p.core, Counters: p.count, Places: p.dials,
+	common := peer.Config{Sink: p.core, Counters: p.count, Figures: p.figures, Places: p.dials,
 		ConnectTimeout: p.cfg.host.ConnectTimeout, Keepalive: p.cfg.host.Keepalive}
 	maker := func(d peer.Dialect) link.Make {
 		return func(name, addr string) link.Carrier { return peer.New(common, d, name, addr) }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -151,6 +151,7 @@
 	Seed         uint64
 	ProbeTimeout time.Duration
 	Counters     *counters.Set
+	Figures      *counters.Figures
 	Mailbox      int // messages that wait at most
 }
 
@@ -160,6 +161,7 @@
 	router  *linkpass.Router
 	links   Links
 	count   *counters.Set
+	figures *counters.Figures
 	mailbox chan func()
 	noted   chan struct{} // there are notes
 	done    chan struct{}
@@ -224,6 +226,8 @@
 // counts as started long ago.
 const originAge = time.Hour
 
+const surveyGap = 100 * time.Millisecond // between two looks at what the module believes of the servers
+
 // New makes a core. Bind gives it its links before Run.
 func New(c Config) (*Core, error) {
 	router, err := linkpass.New(c.Settings, c.Seed)
@@ -236,7 +240,7 @@
 		}
 	}
 	return &Core{
-		set: c.Settings, router: router, count: c.Counters, probeTO: c.ProbeTimeout,
+		set: c.Settings, router: router, count: c.Counters, figures: c.Figures, probeTO: c.ProbeTimeout,
 		mailbox: make(chan func(), max(64, c.Mailbox)), done: make(chan struct{}), noted: make(chan struct{}, 1),
 		epoch:   time.Now().Add(-originAge),
 		queries: map[linkpass.RequestID]*query{}, parts: map[linkpass.RequestID]*part{},
@@ -304,8 +308,9 @@
 // it may be called at any time and does nothing after the answer.
 func (c *Core) Submit(q Query) (leave func()) {
 	var open *query
+	c.figures.InFlight.Add(1)
 	if !c.post(func() { open = c.take(q) }) {
-		q.Reply(Answer{Verdict: Failed, Missing: missAll(q.Parts)})
+		c.settle(q, Answer{Verdict: Failed, Missing: missAll(q.Parts)})
 		return func() {}
 	}
 	return func() { c.post(func() { c.left(open) }) }
@@ -334,6 +339,7 @@
 func (c *Core) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	c.survey()
 	for {
 		select {
 		case m := <-c.mailbox:
@@ -460,14 +466,30 @@
 			a.Missing = append(a.Missing, Miss{Shard: p.Shard, Last: p.last, Tried: p.attempts > 0})
 		}
 	}
-	c.count.Add([...]string{Answered: "queries_answered", Refused: "queries_refused",
-		Failed: "queries_failed"}[a.Verdict], 1)
 	if a.Verdict == Refused {
 		c.count.Add(c.refusal(q), 1)
 	}
+	c.settle(q.Query, a)
+}
+
+// settle counts a query's one answer and gives it.
+func (c *Core) settle(q Query, a Answer) {
+	c.count.Add([...]string{Answered: "queries_answered", Refused: "queries_refused",
+		Failed: "queries_failed"}[a.Verdict], 1)
+	[...][]atomic.Int64{Answered: c.figures.Served, Refused: c.figures.Refused,
+		Failed: c.figures.Failed}[a.Verdict][q.Class].Add(1)
+	c.figures.InFlight.Add(-1)
 	q.Reply(a)
 }
 
+// survey keeps the figures on servers fresh: the module is asked what it believes.
+func (c *Core) survey() {
+	known, avoided := c.router.Listed(c.Now())
+	c.figures.Known.Store(int64(known))
+	c.figures.Excluded.Store(int64(avoided))
+	c.dues.Arm(c.Now()+surveyGap, c.survey)
+}
+
 // refusal names the counter of what a refused query had come to.
 func (c *Core) refusal(q *query) string {
 	tried := false
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -66,7 +66,7 @@
 			Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3, CallParts: 1,
 			ReportFields: []linkpass.ReportField{linkpass.FieldInflight}, AnswerSlack: 20 * time.Millisecond,
 			Classes: []linkpass.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
-		core, err := New(Config{Settings: set, Seed: 7, ProbeTimeout: 250 * time.Millisecond, Counters: counters.New()})
+		core, err := New(Config{Settings: set, Seed: 7, ProbeTimeout: 250 * time.Millisecond, Counters: counters.New(), Figures: counters.NewFigures(make([]string, len(set.Classes)))})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -182,7 +182,7 @@
 func TestClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, err := New(Config{Settings: linkpass.Settings{Peers: 1, Shards: 1, Cells: 1, Reach: 1,
-			Classes: []linkpass.Class{{Aim: 1, Deadline: 1, Need: 1}}}, Counters: counters.New()})
+			Classes: []linkpass.Class{{Aim: 1, Deadline: 1, Need: 1}}}, Counters: counters.New(), Figures: counters.NewFigures(make([]string, 1))})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -53,3 +53,20 @@
 
 // Print logs every counter in one line.
 func (s *Set) Print(why string) { log.Printf("event=counters why=%s %s", why, s) }
+
+// Figures are what the operators read. Each is changed in one place: where the thing
+// that it counts happens.
+type Figures struct {
+	Classes                 []string
+	Served, Refused, Failed []atomic.Int64 // final answers, by class
+	Attempts                atomic.Int64   // written whole to league servers
+	InFlight                atomic.Int64   // queries taken and not yet ended
+	Known, Excluded         atomic.Int64   // servers listed, and those of them avoided now
+}
+
+// NewFigures makes figures for classes of these names, all 0.
+func NewFigures(classes []string) *Figures {
+	n := len(classes)
+	return &Figures{Classes: classes, Served: make([]atomic.Int64, n), Refused: make([]atomic.Int64, n),
+		Failed: make([]atomic.Int64, n)}
+}
--- a/internal/operator/door.go
+++ b/internal/operator/door.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/textproto"
 	"time"
 
+	"linkpass/internal/counters"
 	"linkpass/internal/http1"
 )
 
@@ -19,7 +21,7 @@
 // figures and waits for nobody.
 type Door struct {
 	Gate    *Gate
-	Figures func() []byte
+	Figures *counters.Figures
 }
 
 // Serve answers one call.
@@ -29,7 +31,7 @@
 		answer func() (status int, body []byte)
 	}{
 		"/v1/readyz":  {"GET", func() (int, []byte) { return said(d.Gate.State(), Serving) }},
-		"/v1/metrics": {"GET", func() (int, []byte) { return 200, d.Figures() }},
+		"/v1/metrics": {"GET", func() (int, []byte) { return 200, metrics(d.Figures) }},
 		"/v1/coordinator/drain": {"PUT", func() (int, []byte) {
 			status, body := said(d.Gate.Drain(), Drained, Ending) // an ending process empties itself too
 			return status, body
@@ -59,3 +61,13 @@
 	}
 	return status, []byte(state.String() + "\n")
 }
+
+// metrics words the figures, one on a line.
+func metrics(f *counters.Figures) (b []byte) {
+	for i, class := range f.Classes {
+		b = fmt.Appendf(b, "app.served.%s=%d\napp.refused.%s=%d\napp.failed.%s=%d\n", class, f.Served[i].Load(),
+			class, f.Refused[i].Load(), class, f.Failed[i].Load())
+	}
+	return fmt.Appendf(b, "app.attempts=%d\napp.in_flight=%d\napp.league_servers_known=%d\napp.league_servers_excluded=%d\n",
+		f.Attempts.Load(), f.InFlight.Load(), f.Known.Load(), f.Excluded.Load())
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"linkpass/internal/counters"
 	"linkpass/internal/http1"
 )
 
@@ -16,7 +17,7 @@
 	var g Gate
 	var f front
 	g.Follow(&f)
-	d := &Door{Gate: &g, Figures: func() []byte { return []byte("app.in_flight=0\n") }}
+	d := &Door{Gate: &g, Figures: counters.NewFigures([]string{"a", "b"})}
 	ask := func(method, path string, status int, drained, orders int) {
 		t.Helper()
 		res := d.Serve(t.Context(), 0, &http1.Request{Method: method, Path: path})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,6 +76,7 @@
 type Config struct {
 	Sink           Sink
 	Counters       *counters.Set
+	Figures        *counters.Figures
 	ConnectTimeout time.Duration
 	Keepalive      time.Duration
 	Places         *Places // nil: no bound
@@ -501,6 +502,7 @@
 		return
 	}
 	p.cfg.Counters.Add("peer_parts_written", int64(len(parts)))
+	p.cfg.Figures.Attempts.Add(int64(len(parts)))
 	for i, a := range sent {
 		c.parts[parts[i].Name] = a.ID
 	}
--- a/router.go
+++ b/router.go
@@ -19,6 +19,7 @@
 	probeWaitParts   = 0.5 // is its floor, in median part latencies: a queued probe finds who frees first
 
 	latencyWindow = 10 * time.Second // is the span of all latency and probe medians
+	aloneFor      = time.Second      // without a part makes a sick server one that is avoided
 
 	overdueMedians = 4    // a part is overdue at this multiple of its class's median latency
 	overdueGuess   = 0.4  // stands in for it before latencies are known, as a share of the aim
@@ -74,7 +75,7 @@
 	reportAt            time.Duration
 	reportOut           int           // own attempts out when the report changed
 	latency             *window       // of own parts
-	coldNext            time.Duration // while cold: the earliest time of its next part
+	sentAt, coldNext    time.Duration // of the latest part; while cold: the earliest time of the next
 	probes              []time.Duration
 	lost                int       // probes lost in a row
 	health              []float64 // by class, as of healthAt
@@ -578,9 +579,7 @@
 	case TimedOut:
 		r.blame(a)
 	}
-	if o.Code != Full && o.Code != ConnectFailed && o.Code != Moot {
-		p.ran = true
-	}
+	p.ran = p.ran || o.Code != Full && o.Code != ConnectFailed && o.Code != Moot
 	if q.closed || r.parts[p.id] != p || p.done {
 		return
 	}
@@ -629,6 +628,28 @@
 		(!r.isCold(s.entry) || r.now >= s.coldNext)
 }
 
+// Listed counts the servers of the list, and those of them that are avoided now, not just for the moment
+// that a full one is left alone: they drain, are down, or look sick for every class and got no part lately.
+func (r *Router) Listed(now time.Duration) (known, avoided int) {
+	r.now = max(r.now, now)
+	listed := only(r.order, func(s *server) bool { return s.listed })
+	return len(listed), len(only(listed, func(s *server) bool {
+		sick := s.out == 0 && r.now >= s.sentAt+aloneFor
+		for class := range s.health {
+			sick = sick && r.health(s, class) < suspectRatio*r.bestHealth(r.holders[s.entry.Cell%r.set.Shards], class)
+		}
+		return sick || s.entry.State != Ready || s.down && r.now < s.fullUntil
+	}))
+}
+
+// bestHealth is the best health among some servers for a class.
+func (r *Router) bestHealth(list []*server, class int) (best float64) {
+	for _, s := range list {
+		best = max(best, r.health(s, class))
+	}
+	return best
+}
+
 // Cold servers.
 
 // charge is the work of one part of a class, relative to the mean of all parts.
@@ -747,14 +768,11 @@
 // them, replicas far less healthy than the shard's best are left out: they are compared with each other,
 // so that trouble which hits all of them ejects none and the last holder is never shut out.
 func (r *Router) candidates(p *part) []*server {
-	var out []*server
-	class, best := p.query.Class, 0.0
-	for _, s := range r.holders[p.shard] {
-		if r.eligible(s) && !slices.ContainsFunc(p.open, func(a *attempt) bool { return a.server == s }) {
-			out = append(out, s)
-			best = max(best, r.health(s, class))
-		}
-	}
+	out := only(r.holders[p.shard], func(s *server) bool {
+		return r.eligible(s) && !slices.ContainsFunc(p.open, func(a *attempt) bool { return a.server == s })
+	})
+	class := p.query.Class
+	best := r.bestHealth(out, class)
 	out = slices.DeleteFunc(out, func(s *server) bool {
 		return r.health(s, class) < suspectRatio*best || s.out > 0 && r.health(s, class) < trialRatio*best
 	})
@@ -817,16 +835,8 @@
 // when every replica has replied, or when none has for too long.
 func (r *Router) judge(p *part) {
 	list := r.candidates(p)
-	var good []*server
-	missing := 0
-	for _, s := range list {
-		ok, answered := p.race.replied[s]
-		if ok {
-			good = append(good, s)
-		} else if !answered {
-			missing++
-		}
-	}
+	good := only(list, func(s *server) bool { return p.race.replied[s] })
+	missing := len(only(list, func(s *server) bool { _, answered := p.race.replied[s]; return !answered }))
 	age := r.now - p.race.start
 	if len(good) > 0 {
 		if p.decideAt == 0 {
@@ -913,6 +923,7 @@
 	r.calls[s]++
 	s.out++
 	s.sentSum += r.now
+	s.sentAt = r.now
 	r.attempts[attemptKey{p.id, a.no}] = a
 	r.do(Send{ID: p.id, Server: s.id, Timeout: p.query.ends - r.now})
 }
--- a/router_test.go
+++ b/router_test.go
@@ -838,3 +838,44 @@
 		t.Error("what was served does not end the pauses")
 	}
 }
+
+// The module tells how many servers it avoids: those that drain, are down, or look sick
+// beside the others; one that is left alone long enough no longer counts.
+func TestListedTellsWhatIsAvoided(t *testing.T) {
+	b := newBed(t, settings())
+	want := func(known, avoided int) {
+		t.Helper()
+		if k, a := b.r.Listed(b.now); k != known || a != avoided {
+			t.Errorf("%d known, %d avoided; want %d and %d", k, a, known, avoided)
+		}
+	}
+	next := RequestID(10)
+	try := func(s ServerID, code Code) { // a part that ends so at that server
+		t.Helper()
+		next += 10
+		b.query(next, 0, 0)
+		b.sentTo(s)
+		want(2, 0)
+		b.after(ms, closed(next+1, 0, s, code, ms))
+		b.turn(ClientGone{ID: next})
+	}
+	want(3, 0)
+	b.turn(ListUpdate{Mode: ListDelta, Entries: []Entry{{Server: 2, Cell: 1, State: Draining}}})
+	want(3, 1)
+	b.turn(ListUpdate{Mode: ListDelta, Entries: []Entry{{Server: 2, Cell: 1, State: Gone}}})
+	want(2, 0)
+	try(1, Full) // is left alone for a moment and no more
+	want(2, 0)
+	b.now += time.Second
+	try(1, ConnectFailed)
+	want(2, 1)
+	b.now += time.Second
+	want(2, 0)
+	try(3, Errored)
+	try(3, Errored)
+	want(2, 0) // it may only be the turn of others
+	b.now += aloneFor
+	want(2, 1)
+	b.now += 2 * time.Minute
+	want(2, 0)
+}
