--- a/router.go
+++ b/router.go
@@ -634,9 +634,9 @@
 	r.now = max(r.now, now)
 	listed := only(r.order, func(s *server) bool { return s.listed })
 	return len(listed), len(only(listed, func(s *server) bool {
-		sick := s.out == 0 && r.now >= s.sentAt+aloneFor
+		sick, twins := s.out == 0 && r.now >= s.sentAt+aloneFor, r.holders[s.entry.Cell%r.set.Shards]
 		for class := range s.health {
-			sick = sick && r.health(s, class) < suspectRatio*r.bestHealth(r.holders[s.entry.Cell%r.set.Shards], class)
+			sick = sick && r.health(s, class) < suspectRatio*r.bestHealth(twins, class)
 		}
 		return sick || s.entry.State != Ready || s.down && r.now < s.fullUntil
 	}))
