Back off from discovery with jitter, and wait in its queue when a watch begins

Now the pause doubles from 50 ms to 1.6 s with jitter, a watch that begins is given 2.5 s, one that goes on 750 ms as before, and a 503 leaves the version held in force. Ruled out: the length of the watch (5 s instead of 1 s: the same 22 turned away). Tests: TestThoseTurnedAwayBackOff, TestSilentWatchIsGivenUp.

--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -206,6 +206,7 @@
 	}
 	p.watcher = discovery.NewWatcher(cfg.discovery, &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds,
 		Cells: cfg.module.Cells, Clock: p.core.Clock}, p.core, p.count)
+	p.watcher.Seed = cfg.seed
 	p.links = link.NewSet(p.protocols())
 	p.core.Bind(p.links)
 	return p, nil
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"log"
 	"math"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -24,11 +26,13 @@
 	// watchWait is short: a connection that fell silent looks like a list without changes until the wait
 	// is over, and the next call renews the watch at no cost.
 	watchWait  = time.Second
-	watchSlack = 750 * time.Millisecond // past the wait: discovery says nothing
-	pause      = 50 * time.Millisecond  // before a new connection; a renewal has 200 ms
-	firstWait  = 300 * time.Millisecond // for discovery's first word, before the list last known will do
-	dialLimit  = 500 * time.Millisecond // the agent is on this machine
-	maxList    = 1 << 20                // bytes of a list
+	watchSlack = 750 * time.Millisecond  // past the wait: discovery says nothing to a watch that goes on
+	firstSlack = 2500 * time.Millisecond // to one that begins: it may stand in a queue, and would lose its place there
+	pauseFirst = 50 * time.Millisecond   // before the next try, about; a renewal has 200 ms
+	pauseMost  = 1600 * time.Millisecond // doubled up to this: many coordinators turned away must not keep discovery down
+	firstWait  = 300 * time.Millisecond  // for discovery's first word, before the list last known will do
+	dialLimit  = 500 * time.Millisecond  // the agent is on this machine
+	maxList    = 1 << 20                 // bytes of a list
 
 	// none stands for no version held. Version 0 is a real one: asking for the
 	// whole list in its place, which is answered at once, would go on for ever.
@@ -118,8 +122,12 @@
 	Reader   *Reader
 	Core     Core
 	Counters *counters.Set
+	Seed     uint64 // of the chance that keeps many watchers from asking in step
 
 	version int64
+	answers int           // of discovery in a row
+	pause   time.Duration // before the next try, about
+	chance  *rand.Rand
 	mailbox chan reply
 	moves   chan string
 	usable  func()
@@ -148,6 +156,12 @@
 	w.moves <- addr
 }
 
+// ask is one call: for news after a version, or for the whole list.
+type ask struct {
+	version     int64
+	wait, slack time.Duration // how long discovery may hold it, and how late it may then be
+}
+
 // reply is how one call ended. Without a connection the next call makes its own.
 type reply struct {
 	line *line
@@ -176,9 +190,17 @@
 	}
 	var held *line
 	failing := false
+	w.pause, w.chance = pauseFirst, rand.New(rand.NewPCG(w.Seed, 0))
 	for {
 		call, stop := context.WithCancel(ctx)
-		go func(l *line, version int64) { w.mailbox <- w.call(call, l, version) }(held, w.version)
+		c := ask{version: w.version, wait: watchWait, slack: watchSlack}
+		if w.answers == 0 || c.version == none {
+			c.wait = 0 // whether there is news is known at once, and with it that the list can be used
+		}
+		if w.answers < 2 {
+			c.slack = firstSlack
+		}
+		go func(l *line) { w.mailbox <- w.call(call, l, c) }(held)
 		var r reply
 		var next string
 		select {
@@ -205,8 +227,11 @@
 		}
 		if r.err != nil {
 			w.Counters.Add("discovery_failed", 1)
-			w.version = none // what was told on a watch that broke may be lost: the whole list brings it
-			// Guards the log against one line for each of the 20 tries a second while discovery is down.
+			w.answers = 0
+			if !errors.As(r.err, new(turnedAway)) {
+				w.version = none // what was told on a watch that broke may be lost: the whole list brings it
+			}
+			// Guards the log against one line for each of the tries while discovery is down.
 			if !failing {
 				log.Printf("event=discovery_failed addr=%s err=%q", w.Addr, r.err)
 			}
@@ -215,8 +240,10 @@
 			case <-ctx.Done():
 			case next := <-w.moves:
 				held = w.move(held, next)
-			case <-time.After(pause):
+			case <-time.After(w.rest()):
 			}
+		} else {
+			w.answers, w.pause = w.answers+1, pauseFirst
 		}
 	}
 	if held != nil {
@@ -232,13 +259,25 @@
 	}
 	log.Printf("event=discovery_moved from=%s to=%s", w.Addr, addr)
 	w.Counters.Add("discovery_moved", 1)
-	w.Addr, w.version = addr, none
+	w.Addr, w.version, w.answers, w.pause = addr, none, 0, pauseFirst
 	return nil
 }
 
+// rest is how long to wait before the next try.
+func (w *Watcher) rest() time.Duration {
+	pause := w.pause
+	w.pause = min(2*w.pause, pauseMost)
+	return time.Duration((0.5 + w.chance.Float64()) * float64(pause))
+}
+
+// turnedAway is the status of an answer that is no list.
+type turnedAway int
+
+func (s turnedAway) Error() string { return fmt.Sprintf("status %d", int(s)) }
+
 // call makes one call, on the connection held or on a new one. A connection that
 // can't carry another call is closed and not handed back.
-func (w *Watcher) call(ctx context.Context, l *line, version int64) reply {
+func (w *Watcher) call(ctx context.Context, l *line, c ask) reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if l == nil {
@@ -252,19 +291,15 @@
 	}
 	nc := l.Conn // l may be given up below while the function that closes it still runs
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	limit := watchSlack
-	if version != none {
-		limit += watchWait // only a watch may wait
-	}
-	disarm := w.Core.Arm(w.Core.Now()+limit, cancel)
-	res, err := l.ask(w.Addr, version)
+	disarm := w.Core.Arm(w.Core.Now()+c.wait+c.slack, cancel)
+	res, err := l.ask(w.Addr, c)
 	disarm()
 	if !stop() || err != nil || res.Status != 200 || res.Close {
 		_ = l.Close()
 		l = nil
 	}
 	if err == nil && res.Status != 200 {
-		err = fmt.Errorf("status %d", res.Status)
+		err = turnedAway(res.Status)
 	}
 	if err != nil {
 		return reply{err: fmt.Errorf("watch: %w", err)}
@@ -272,10 +307,10 @@
 	return reply{line: l, body: res.Body}
 }
 
-func (l *line) ask(host string, version int64) (*http1.Response, error) {
+func (l *line) ask(host string, c ask) (*http1.Response, error) {
 	path := "/registry/instances"
-	if version != none {
-		path = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, version, watchWait.Milliseconds())
+	if c.version != none {
+		path = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, c.version, c.wait.Milliseconds())
 	}
 	if err := http1.WriteRequest(l, "GET", path, host, nil, nil); err != nil {
 		return nil, err
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -67,7 +71,11 @@
 					}
 					paths <- req.Path + "?" + req.Query
 					body, ok := <-answers
-					if !ok || http1.WriteResponse(nc, &http1.Response{Status: 200, Body: []byte(body)}) != nil {
+					status, err := strconv.Atoi(body)
+					if err != nil {
+						status = 200
+					}
+					if !ok || http1.WriteResponse(nc, &http1.Response{Status: status, Body: []byte(body)}) != nil {
 						return
 					}
 				}
@@ -212,7 +220,16 @@
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
 	<-core.lists
-	<-core.armed // of the dial
+	<-core.armed                          // of the dial
+	for _, wait := range []int{0, 1000} { // a watch that begins may stand in a queue
+		if first := <-core.armed; first.at < time.Duration(wait)*time.Millisecond+firstSlack {
+			t.Errorf("a first call is given up after %v", first.at)
+		}
+		if got := <-paths; got != fmt.Sprint("/registry/instances?after=9&wait_ms=", wait) {
+			t.Errorf("asked %q", got)
+		}
+		answers <- `{"version":9,"full":false,"servers":[]}`
+	}
 	watch := <-core.armed
 	if got := <-paths; !strings.HasPrefix(got, "/registry/instances?after=9&") || watch.at > 2*time.Second {
 		t.Fatalf("asked %q, given up after %v", got, watch.at)
@@ -224,3 +241,38 @@
 	cancel()
 	<-done
 }
+
+// Many coordinators that discovery turns away must not keep it down: each asks ever more
+// seldom and none in step with another, and goes on from the version that it holds.
+func TestThoseTurnedAwayBackOff(t *testing.T) {
+	var rests [2][]time.Duration
+	for i := range rests {
+		w := &Watcher{pause: pauseFirst, chance: rand.New(rand.NewPCG(uint64(i), 0))}
+		for want := pauseFirst; len(rests[i]) < 9; want = min(2*want, pauseMost) {
+			rest := w.rest()
+			if rest < want/2 || rest > want+want/2 {
+				t.Errorf("rests %v, want about %v", rest, want)
+			}
+			rests[i] = append(rests[i], rest)
+		}
+	}
+	if slices.Equal(rests[0], rests[1]) {
+		t.Error("two watchers ask in step")
+	}
+	paths, answers := make(chan string), make(chan string)
+	defer close(answers)
+	ctx, cancel := context.WithCancel(t.Context())
+	core := &fakeCore{lists: make(chan coordinator.List, 4)}
+	w := NewWatcher(agent(t, paths, answers), reader(), core, counters.New())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
+	for _, answer := range []string{"503", `{"version":9,"full":false,"servers":[]}`} {
+		if got := <-paths; got != "/registry/instances?after=9&wait_ms=0" {
+			t.Errorf("asked %q", got)
+		}
+		answers <- answer
+	}
+	<-w.Usable()
+	cancel()
+	<-done
+}
