--- a/router.go
+++ b/router.go
@@ -18,8 +18,9 @@
 	probeWaitMedians = 2   // bounds the wait for a first reply, in recent median probe times
 	probeWaitParts   = 0.5 // is its floor, in median part latencies: a queued probe finds who frees first
 
-	latencyWindow = 10 * time.Second // is the span of all latency and probe medians
-	aloneFor      = time.Second      // without a part makes a sick server one that is avoided
+	latencyWindow = 10 * time.Second      // is the span of all latency and probe medians
+	replyLasts    = 25 * time.Millisecond // for each front node, is how long a reply counts in later races
+	aloneFor      = time.Second           // without a part makes a sick server one that is avoided
 
 	overdueMedians = 4    // a part is overdue at this multiple of its class's median latency
 	overdueGuess   = 0.4  // stands in for it before latencies are known, as a share of the aim
@@ -80,8 +81,9 @@
 	lost                int       // probes lost in a row
 	health              []float64 // by class, as of healthAt
 	healthAt, fullUntil time.Duration
-	fulls               int  // pauses after full in a row, with nothing served between
-	down                bool // that pause is for a connect that failed
+	replyUntil          time.Duration // its latest reply to a probe counts in later races
+	fulls               int           // pauses after full in a row, with nothing served between
+	down                bool          // that pause is for a connect that failed
 }
 
 // race is one turn's probes and the replies so far.
@@ -534,14 +536,11 @@
 		mayHaveRun && class.Effect == Keyed && r.now > p.firstRun+class.Window-r.set.Tick {
 		return false
 	}
-	if r.set.BudgetWindow == 0 {
-		return true
-	}
 	budget := r.set.BudgetFree + r.set.BudgetShare*r.arrivals.total(r.now)
 	if hedge {
 		budget *= hedgeShare
 	}
-	return float64(r.extras.count(r.now)+1) <= budget
+	return r.set.BudgetWindow == 0 || float64(r.extras.count(r.now)+1) <= budget
 }
 
 // closeAttempt books an outcome.
@@ -751,7 +750,7 @@
 	s.probes = slices.Delete(s.probes, n, n+1)
 	good := e.Code == OK
 	if good {
-		s.lost = 0
+		s.lost, s.replyUntil = 0, start+replyLasts*time.Duration(r.set.Peers)
 		r.replies.add(r.now, float64(r.now-start))
 	} else {
 		s.lost++
@@ -796,17 +795,19 @@
 	r.races = slices.DeleteFunc(r.races, func(c *race) bool { return c.start < old || !c.run })
 }
 
-// enter puts a part into this turn's race and probes its replicas, each once a turn. A part that
-// may go nowhere now is looked at again next turn; where no probe is allowed reports decide.
+// enter puts a part into this turn's race and probes its replicas, each once a turn; where replies
+// still count, or no probe is allowed, it is over at once. A part that may go nowhere waits a turn.
 func (r *Router) enter(p *part, now *race) {
 	list := r.candidates(p)
-	if len(list) > 0 && !r.set.Probes {
-		r.decide(p, list, list)
+	fresh := only(list, func(s *server) bool { return !r.set.Probes || r.now < s.replyUntil })
+	lasts := replyLasts * time.Duration(min(len(fresh), 1)*r.set.Peers)
+	for _, s := range only(list, func(s *server) bool { return !slices.Contains(fresh, s) }) {
+		r.probe(s, lasts)
+	}
+	if len(fresh) > 0 {
+		r.decide(p, list, fresh)
 	} else if len(list) > 0 {
 		p.race, p.decideAt, now.run = now, 0, true
-		for _, s := range list {
-			r.probe(s, 0)
-		}
 	}
 }
 
@@ -866,8 +867,7 @@
 		if r.set.CallCost > 0 && r.calls[s]%max(1, r.set.CallParts) > 0 {
 			work -= joinBonus
 		}
-		health := r.health(s, p.query.Class)
-		work /= health * health // sick servers look idle
+		work /= math.Pow(r.health(s, p.query.Class), 2) // sick servers look idle
 		if s.entry.Zone != r.set.Zone && r.now > r.pressed+latencyWindow {
 			work += homeBonus * r.set.CrossCost
 		}
--- a/router_test.go
+++ b/router_test.go
@@ -16,6 +16,8 @@
 	now  time.Duration
 	last []Action
 	next uint64
+
+	lasting bool // replies to probes count in later races; otherwise each part has its own
 }
 
 func settings() Settings {
@@ -41,6 +43,11 @@
 }
 
 func (b *bed) turn(events ...Event) []Action {
+	for _, s := range b.r.order {
+		if !b.lasting {
+			s.replyUntil = 0
+		}
+	}
 	b.last = slices.Clone(b.r.Turn(b.now, events))
 	return b.last
 }
@@ -879,3 +886,29 @@
 	b.now += 2 * time.Minute
 	want(2, 0)
 }
+
+// With more front nodes a reply counts for longer, so that the servers are not probed more
+// often for it. It counts from when its probe was sent: the slowest to reply is not the freshest.
+func TestRepliesLastByTheNumberOfNodes(t *testing.T) {
+	for _, peers := range []int{1, 40} {
+		set := settings()
+		set.Peers = peers
+		b := newBed(t, set)
+		b.lasting = true
+		b.query(10, 0, 0)
+		expect[Probe](t, b.last, 3)
+		b.after(5*ms, reply(1, 3), reply(2, 0)) // the third stands still
+		b.after(5 * ms)
+		b.turn(ClientGone{ID: 10})
+		b.now += replyLasts*time.Duration(peers) - 11*ms
+		b.query(20, 0, 0)
+		if sends := expect[Send](t, b.last, 1); sends[0].Server != 2 {
+			t.Errorf("%d nodes: sent to %d", peers, sends[0].Server)
+		}
+		expect[Probe](t, b.last, 0) // the third was asked within that time
+		b.after(ms)
+		b.query(30, 0, 0)
+		expect[Send](t, b.last, 0)
+		expect[Probe](t, b.last, 3)
+	}
+}
