Share one set of limits while two processes run, and warm the newcomer

Seen: both processes of an upgrade took the whole of memory, descriptors, open queries and the same seed (run.go, start). internal/handover: the eldest listens on a Unix socket in $TMPDIR and tells the others how many they are; each keeps to its part (http1.Limit, peer.Places.Limit, the module's Room), the newcomer's seed is its own, it probes its servers once (Warm) and only then accepts and says yes; search front and store wait for the other's end.

--- a/api.go
+++ b/api.go
@@ -208,6 +208,13 @@
 	Report []float64
 }
 
+// Room says that the node may hold so many queries and parts from now on: another
+// process of it holds the rest.
+type Room struct{ Open int }
+
+// Warm says that the node is to know its servers before clients come.
+type Warm struct{}
+
 // PeerMessage is a message from another front node. The router sends none and
 // reads none; hosts may pass it on all the same.
 type PeerMessage struct {
@@ -222,6 +229,8 @@
 func (ClientGone) event()  {}
 func (Alarm) event()       {}
 func (Probed) event()      {}
+func (Room) event()        {}
+func (Warm) event()        {}
 func (PeerMessage) event() {}
 
 // Action is something the front node is to do, in the order returned.
--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"linkpass/internal/counters"
 	"linkpass/internal/discovery"
 	"linkpass/internal/frame"
+	"linkpass/internal/handover"
 	"linkpass/internal/http1"
 	"linkpass/internal/link"
 	"linkpass/internal/opensearch"
@@ -53,9 +55,15 @@
 	lns     []net.Listener // of the fronts, in their order
 	door    *http1.Server  // nil: none
 	doorLn  net.Listener
-	current func() *catalog.Catalog
-	clients int          // connections that each front may hold
 	dials   *peer.Places // connections that all league servers may take
+	current atomic.Pointer[func() *catalog.Catalog]
+
+	post  *handover.Post
+	alone chan struct{} // told when no other process of this coordinator runs any more
+
+	mu      sync.Mutex // guards what follows: the share of the limits
+	share   handover.Share
+	clients int // connections that each front may hold
 }
 
 // reload takes a new configuration while the program runs: the address of
@@ -70,7 +78,10 @@
 	}
 	p.count.Add("config_reloaded", 1)
 	log.Printf("event=config_reloaded discovery=%s", cfg.fileDiscovery)
-	limitMemory(cfg.memoryMB)
+	p.mu.Lock()
+	p.cfg.memoryMB = cfg.memoryMB
+	p.limitMemory()
+	p.mu.Unlock()
 	// The environment stays as it was at the start, so only the file can bring news.
 	if cfg.fileDiscovery != "" && cfg.fileDiscovery != p.cfg.fileDiscovery {
 		p.watcher.Move(cfg.fileDiscovery)
@@ -78,12 +89,50 @@
 	p.cfg.fileDiscovery = cfg.fileDiscovery
 }
 
-func limitMemory(mb int) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+// limitMemory sets the collector's limit to this process's share.
+func (p *program) limitMemory() {
+	if p.cfg.memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.cfg.memoryMB) * (1 << 20) / float64(p.share.Processes)))
 	}
 }
 
+// keepTo keeps this process to its share of the limits.
+func (p *program) keepTo(s handover.Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.share.Processes != s.Processes {
+		log.Printf("event=share processes=%d open=%d", s.Processes, s.Open)
+	}
+	p.share = s
+	p.limitMemory()
+	var servers int
+	p.clients, servers = shareSockets(p.cfg.sockets/s.Processes, p.planned())
+	for _, front := range p.fronts {
+		front.Limit(p.clients)
+	}
+	p.dials.Limit(servers)
+	if p.core != nil {
+		p.core.Room(s.Open)
+	}
+	if s.Processes == 1 {
+		select {
+		case p.alone <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// young tells whether another process of this coordinator ran already when this one started.
+func (p *program) young() bool { return p.share.Processes > 1 }
+
+// planned is the number of fronts.
+func (p *program) planned() int {
+	if p.cfg.search.Listen != "" {
+		return 2
+	}
+	return 1
+}
+
 // serve serves until the context ends, then finishes what was taken.
 func (p *program) serve(term context.Context, news <-chan os.Signal) (err error) {
 	cfg := p.cfg
@@ -95,20 +144,45 @@
 		p.core.Run(ctx)
 	}()
 	all.Go(func() { p.watcher.Run(ctx, cfg.known) })
-	for i, front := range p.fronts {
-		accepting.Go(func() { accept(front, p.lns[i]) })
+	open := func(i int) { accepting.Go(func() { accept(p.fronts[i], p.lns[i]) }) }
+	p.mu.Lock()
+	young := p.young()
+	p.mu.Unlock()
+	for i := range p.fronts {
+		if !young {
+			open(i)
+		}
 	}
 	if p.door != nil {
 		all.Go(func() { accept(p.door, p.doorLn) })
 	}
 	log.Printf("event=started name=%s discovery=%s servers=%d", cfg.name, cfg.discovery, len(cfg.known.Servers))
 
-	usable := p.watcher.Usable()
+	usable, warm := p.watcher.Usable(), make(chan struct{})
 	for serving := true; serving; {
 		select {
 		case <-usable:
 			usable = nil
+			if !young {
+				p.gate.Open()
+				break
+			}
+			// The other process serves meanwhile: this one joins it when it knows its servers.
+			p.core.Warm(func() { close(warm) })
+		case <-warm:
+			warm = nil
+			open(0)
 			p.gate.Open()
+		case <-p.alone:
+			p.mu.Lock()
+			n := len(p.fronts)
+			err := p.search()
+			p.mu.Unlock()
+			if err != nil {
+				log.Printf("event=search_failed err=%q", err)
+			} else if len(p.fronts) > n {
+				open(n)
+			}
 		case sig := <-news:
 			if sig == syscall.SIGHUP {
 				p.reload(os.Getenv)
@@ -141,6 +215,7 @@
 		p.door.Stop()
 	}
 	all.Wait()
+	p.post.Close()
 	p.count.Print("exit")
 	log.Printf("event=stopped")
 	return err
@@ -155,7 +230,6 @@
 
 // start sets everything up and takes the addresses to listen on.
 func start(cfg config) (p *program, err error) {
-	limitMemory(cfg.memoryMB)
 	if cfg.cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.cores)))
 	}
@@ -163,19 +237,12 @@
 		cfg.sockets = defaultSockets
 	}
 	p = &program{cfg: cfg, count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
-		current: func() *catalog.Catalog { return &cfg.search.Catalog }}
-	p.core, err = coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
-		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize})
-	if err != nil {
-		return nil, err
+		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1)}
+	p.follow(func() *catalog.Catalog { return &cfg.search.Catalog })
+	if p.post, err = handover.Join(os.TempDir(), cfg.name, cfg.module.MaxOpen, p.keepTo); err != nil {
+		log.Printf("event=handover_failed err=%q", err) // one that runs alone does without
+		p.keepTo(handover.Share{Processes: 1, Open: cfg.module.MaxOpen})
 	}
-	fronts := 1
-	if cfg.search.Listen != "" {
-		fronts++
-	}
-	var servers int
-	p.clients, servers = shareSockets(cfg.sockets, fronts)
-	p.dials = peer.NewPlaces(servers)
 	defer func() {
 		if err != nil {
 			for _, ln := range append(p.lns, p.doorLn) {
@@ -183,8 +250,21 @@
 					_ = ln.Close()
 				}
 			}
+			p.post.Close()
 		}
 	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.young() {
+		cfg.seed ^= uint64(os.Getpid()) * 0x9e3779b97f4a7c15 // chance and names apart from the other's
+		p.cfg.seed = cfg.seed
+	}
+	cfg.module.MaxOpen = p.share.Open
+	p.core, err = coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
+		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize})
+	if err != nil {
+		return nil, err
+	}
 	thin := &platform.Front{Core: p.core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: p.count}
 	thin.Ready = p.gate.Ready
 	ln, err := clientListener(cfg)
@@ -199,7 +279,7 @@
 		door := &operator.Door{Gate: &p.gate, Figures: p.figures}
 		p.door = &http1.Server{Name: "operator", Handler: door, Clock: p.core, Counters: p.count, MaxConns: operator.MaxCallers}
 	}
-	if cfg.search.Listen != "" {
+	if !p.young() {
 		if err := p.search(); err != nil {
 			return nil, err
 		}
@@ -247,8 +327,15 @@
 	p.gate.Follow(server)
 }
 
-// search sets up the search front, and the store where there is one.
+// follow names the search settings that hold.
+func (p *program) follow(current func() *catalog.Catalog) { p.current.Store(&current) }
+
+// search sets up the search front, and the store where there is one. The other process
+// must have gone: it has the address and the store's files.
 func (p *program) search() (err error) {
+	if p.cfg.search.Listen == "" || len(p.fronts) == p.planned() {
+		return nil
+	}
 	initial := &p.cfg.search.Catalog
 	answers := opensearch.FixedSettings(initial)
 	if p.cfg.search.Store.ID != "" {
@@ -257,9 +344,10 @@
 		if p.store, err = store.Open(c); err != nil {
 			return err
 		}
-		p.current, answers = p.store.Current, opensearch.StoreSettings(p.store)
+		p.follow(p.store.Current)
+		answers = opensearch.StoreSettings(p.store)
 	}
-	front := &opensearch.Front{Core: p.core, Shards: p.cfg.module.Shards, Counters: p.count, Catalog: p.current,
+	front := &opensearch.Front{Core: p.core, Shards: p.cfg.module.Shards, Counters: p.count, Catalog: *p.current.Load(),
 		Settings: answers, Prefix: strconv.FormatUint(p.cfg.seed, 16)}
 	for i, name := range p.cfg.host.Classes {
 		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline})
@@ -287,7 +375,7 @@
 			catalog.Plain:  maker(frame.Dialect{MaxStreams: p.cfg.host.MaxStreams, ReportNames: p.cfg.host.ReportNames}),
 			catalog.Search: maker(opensearch.Dialect{ReportNames: p.cfg.host.ReportNames}),
 		},
-		Of: func(server string) string { return p.current().Protocol(server) },
+		Of: func(server string) string { return (*p.current.Load())().Protocol(server) },
 	}
 }
 
@@ -306,6 +394,7 @@
 	}
 	accepting.Wait()
 	time.Sleep(lastCalls - wait)
+	p.post.Leave(p.core.Held())
 	for _, front := range p.fronts {
 		front.Stop()
 	}
--- a/cmd/linkpass/run_test.go
+++ b/cmd/linkpass/run_test.go
@@ -81,7 +81,10 @@
 		}
 	})
 	t.Cleanup(b.stop)
-	b.platform, b.search = connect(t, b.p.lns[0].Addr().String()), connect(t, b.p.lns[1].Addr().String())
+	b.platform = connect(t, b.p.lns[0].Addr().String())
+	if len(b.p.lns) > 1 {
+		b.search = connect(t, b.p.lns[1].Addr().String())
+	}
 	<-b.told // the watch goes on from the known list
 	return b
 }
@@ -493,7 +496,9 @@
 		}
 		return n
 	}
-	old := newBench(t, 3, func(c *config) { c.listenFD = fd() })
+	dir := t.TempDir()
+	here := func(c *config) { t.Setenv("TMPDIR", dir); c.listenFD = fd() }
+	old := newBench(t, 3, here)
 	kept := connect(t, held.Addr().String())
 	if status, _ := old.query(kept, "whole", 15*time.Second, 0); status != 200 {
 		t.Fatal(status)
@@ -505,13 +510,32 @@
 	for n := 0; n < 2; _, n = old.since(0) {
 		time.Sleep(time.Millisecond)
 	}
+	young := newBench(t, 3, here)
+	for !young.p.gate.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	if n := young.p.count.Get("probes_served"); n < 6 {
+		t.Errorf("says yes having heard of %d servers", n)
+	}
+	limits := func(p *program) (processes, clients, room int) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.share.Processes, p.clients, p.share.Open
+	}
+	for _, p := range []*program{old.p, young.p} { // each keeps to its half
+		n, clients, room := limits(p)
+		if most, _ := shareSockets(p.cfg.sockets/2, 2); n != 2 || clients != most || room != p.cfg.module.MaxOpen/2 {
+			t.Errorf("%d processes, %d clients, room for %d", n, clients, room)
+		}
+	}
+	if young.p.cfg.seed == old.p.cfg.seed {
+		t.Error("two processes of one seed")
+	}
 	stopped := make(chan struct{})
 	go func() { defer close(stopped); old.stop() }()
 	for !errors.Is(old.p.lns[0].(*net.TCPListener).SetDeadline(time.Time{}), net.ErrClosed) {
 		time.Sleep(time.Millisecond)
 	}
-	young := newBench(t, 3, func(c *config) { c.listenFD = fd() })
-	<-young.p.watcher.Usable()
 	next := connect(t, held.Addr().String())
 	if status, _ := young.query(next, "whole", 15*time.Second, 0); status != 200 {
 		t.Error(status)
@@ -522,9 +546,23 @@
 		t.Errorf("what the old process had taken ended with %d", status)
 	}
 	<-stopped
+	for n, open := 0, 0; n != 1 || open != young.p.cfg.module.MaxOpen; n, _, open = limits(young.p) { // alone: all of it
+		time.Sleep(time.Millisecond)
+	}
 	if status, _ := young.query(connect(t, held.Addr().String()), "whole", 15*time.Second, 1); status != 200 {
 		t.Error(status)
 	}
+	for young.search == nil { // the search front comes up once the old process has gone
+		young.p.mu.Lock()
+		if len(young.p.lns) > 1 {
+			young.search = connect(t, young.p.lns[1].Addr().String())
+		}
+		young.p.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	if status, got := young.find("players", ""); status != 200 || got.Shards.Successful != 3 {
+		t.Errorf("%d %+v", status, got)
+	}
 	old.rules()
 	young.rules()
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -182,6 +182,7 @@
 	attempts map[AttemptID]*attempt
 	probes   map[uint64]*probe
 	calls    []call
+	warm     func() // waits for the probes that are out; nil: nobody does
 }
 
 type query struct {
@@ -329,6 +330,34 @@
 	})
 }
 
+// Room says how many queries and parts may be held from now on.
+func (c *Core) Room(open int) {
+	c.post(func() { c.events = append(c.events, linkpass.Room{Open: open}) })
+}
+
+// Held is how many queries and parts are held now.
+func (c *Core) Held() int {
+	held := make(chan int, 1)
+	if !c.post(func() { held <- len(c.queries) + len(c.parts) }) {
+		return 0
+	}
+	select {
+	case n := <-held:
+		return n
+	case <-c.done:
+		return 0
+	}
+}
+
+// Warm has the module get to know the servers; known is called, on the core's
+// goroutine, once all have replied or have had their time.
+func (c *Core) Warm(known func()) {
+	c.post(func() {
+		c.events = append(c.events, linkpass.Warm{})
+		c.warm = known
+	})
+}
+
 // Ended says how an attempt ended.
 func (c *Core) Ended(id AttemptID, r Result) { c.post(func() { c.ended(id, r) }) }
 
@@ -406,6 +435,10 @@
 				}
 			}
 		}
+		if c.warm != nil && len(c.probes) == 0 {
+			c.warm()
+			c.warm = nil
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,154 @@
+// Package handover lets the processes of one coordinator that run at the same time,
+// while one version takes over from another, keep to one set of limits together.
+package handover
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+)
+
+// Share is the part of the limits that a process may use.
+type Share struct {
+	Processes int // that run; each has its equal part of memory and descriptors
+	Open      int // queries and parts that this one may hold
+}
+
+// Post is a process's place among those that run.
+type Post struct {
+	path  string
+	open  int // what all of them may hold together
+	share func(Share)
+
+	mu      sync.Mutex
+	ln      net.Listener
+	elder   net.Conn
+	younger map[net.Conn]bool
+	holds   int // by an eldest that leaves; below 0: it stays
+	closed  bool
+	wg      sync.WaitGroup
+}
+
+// Join takes a place among the processes of a name that use a directory, and tells the
+// share. It is told anew, from another goroutine, whenever it changes.
+func Join(dir, name string, open int, share func(Share)) (*Post, error) {
+	p := &Post{path: filepath.Join(dir, "linkpass-"+filepath.Base(name)+".sock"), open: open, share: share,
+		younger: map[net.Conn]bool{}, holds: -1}
+	return p, p.claim()
+}
+
+// claim finds the eldest, or becomes it.
+func (p *Post) claim() error {
+	// Guards two that start at once: the second finds the first listening.
+	lock, err := os.OpenFile(p.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	defer lock.Close()
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	if nc, err := net.Dial("unix", p.path); err == nil {
+		p.elder = nc
+		p.share(Share{2, p.open / 2}) // until it has told
+		p.wg.Go(func() { p.listen(nc) })
+		return nil
+	}
+	// What a process that crashed left behind stands in nobody's way.
+	if err := os.Remove(p.path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if p.ln, err = net.Listen("unix", p.path); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	p.elder = nil
+	p.share(Share{1, p.open})
+	p.wg.Go(func() { p.accept(p.ln) })
+	return nil
+}
+
+// listen takes what the eldest tells, until it has gone.
+func (p *Post) listen(nc net.Conn) {
+	for r := bufio.NewReader(nc); ; {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			break
+		}
+		var s Share
+		if _, err := fmt.Sscanf(line, "processes=%d open=%d\n", &s.Processes, &s.Open); err != nil || s.Processes < 2 || s.Open < 0 {
+			log.Printf("event=handover_bad line=%q", line)
+			break
+		}
+		p.share(s)
+	}
+	_ = nc.Close()
+	if err := p.claim(); err != nil {
+		log.Printf("event=handover_failed err=%q", err)
+	}
+}
+
+// accept takes younger processes in until the listener is closed.
+func (p *Post) accept(ln net.Listener) {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		p.change(func() { p.younger[nc] = true })
+		p.wg.Go(func() {
+			_, _ = bufio.NewReader(nc).ReadByte() // nothing comes before its end
+			p.change(func() { delete(p.younger, nc) })
+			_ = nc.Close()
+		})
+	}
+}
+
+// change applies a change and tells all their share: this one first, which may have
+// to make room for the others.
+func (p *Post) change(apply func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	apply()
+	n := len(p.younger) + 1
+	mine, theirs := p.open/n, p.open/n
+	if p.holds >= 0 && n > 1 && p.open > 0 { // 0 is no bound
+		mine, theirs = max(1, p.holds), max(1, (p.open-p.holds)/(n-1))
+	}
+	if !p.closed {
+		p.share(Share{n, mine})
+	}
+	for nc := range p.younger {
+		_, _ = fmt.Fprintf(nc, "processes=%d open=%d\n", n, theirs) // its end shows where it is read
+	}
+}
+
+// Leave says that this process takes nothing more and still holds so much.
+func (p *Post) Leave(holds int) { p.change(func() { p.holds = holds }) }
+
+// Close gives the place up, and waits for all that it started.
+func (p *Post) Close() {
+	p.mu.Lock()
+	p.closed = true
+	if p.ln != nil {
+		_ = p.ln.Close() // takes its file away
+	}
+	if p.elder != nil {
+		_ = p.elder.Close()
+	}
+	for nc := range p.younger {
+		_ = nc.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -267,7 +267,15 @@
 	ask(stays, staying) // is idle for less time now than the third
 	ask(dial(t, addr))
 	ask(dial(t, addr))
-	if n := s.Counters.Get("test_conns_evicted"); n != 3 || s.Counters.Get("test_conns_over") != 0 {
+	_, other := dial(t, addr)
+	for !s.at(fresh) {
+		time.Sleep(time.Millisecond)
+	}
+	s.Limit(0) // the limit falls: those not at work go
+	if err := other.Wait(); !errors.Is(err, io.EOF) {
+		t.Errorf("a connection past the limit stayed: %v", err)
+	}
+	if n := s.Counters.Get("test_conns_evicted"); n != 4 || s.Counters.Get("test_conns_over") != 0 {
 		t.Error(s.Counters)
 	}
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -1,12 +1,14 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"log"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -184,6 +186,24 @@
 	return true
 }
 
+// Limit sets how many connections there may be. Beyond it, those that wait for nothing
+// are closed, the one idle for longest first.
+func (s *Server) Limit(conns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.MaxConns = conns
+	var spare []*conn
+	for c := range s.conns {
+		if c.state == fresh || c.state == idle {
+			spare = append(spare, c)
+		}
+	}
+	slices.SortFunc(spare, func(a, b *conn) int { return cmp.Compare(a.since, b.since) })
+	for _, c := range spare[:min(len(spare), max(0, len(s.conns)-conns))] {
+		c.expire()
+	}
+}
+
 // Drain makes every answer the last of its connection. New connections are still
 // served; those that stay idle are closed a little later.
 func (s *Server) Drain() {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -83,15 +83,19 @@
 }
 
 // Places bounds the connections of all peers together: a descriptor each.
-type Places struct{ left atomic.Int64 }
+type Places struct{ all, left atomic.Int64 }
 
 // NewPlaces makes so many places.
 func NewPlaces(n int) *Places {
 	p := &Places{}
-	p.left.Store(int64(n))
+	p.Limit(n)
 	return p
 }
 
+// Limit sets how many places there are. Where more are taken, connections are closed
+// as they fall idle.
+func (p *Places) Limit(n int) { p.left.Add(int64(n) - p.all.Swap(int64(n))) }
+
 func (p *Places) take() bool {
 	if p == nil || p.left.Add(-1) >= 0 {
 		return true
@@ -106,6 +110,9 @@
 	}
 }
 
+// over tells whether more places are taken than there are.
+func (p *Places) over() bool { return p != nil && p.left.Load() < 0 }
+
 const (
 	mailboxSize = 256 // orders and news that wait
 	ownMargin   = 4   // the idle limit here is the other side's less one part in so many
@@ -604,7 +611,7 @@
 	default:
 		p.cfg.Counters.Add("peer_answers_late", 1)
 	}
-	if m.Last {
+	if m.Last || p.cfg.Places.over() && len(c.parts)+len(c.probes)+c.held == 0 {
 		p.drop(c, end.Closed)
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -358,6 +360,34 @@
 	}
 }
 
+// Where fewer places are left than are taken, a connection goes as it falls idle, not before.
+func TestFewerPlaces(t *testing.T) {
+	srv := listen(t)
+	places, s := peer.NewPlaces(2), newSink()
+	p := peer.New(peer.Config{Sink: s, Counters: counters.New(), Figures: counters.NewFigures(nil), ConnectTimeout: time.Second, Places: places},
+		frame.Dialect{MaxStreams: 2}, "s-1", srv.ln.Addr().String())
+	defer func() { p.Close(); p.Wait() }()
+	p.Fit(true)
+	p.Call(attempt("a", 3, 0))
+	p.Call(attempt("b", 3, 1))
+	<-srv.frames
+	<-srv.frames
+	nc := <-srv.conns
+	places.Limit(0)
+	reply(nc, "a.3 200 1 -\nv")
+	s.want(t, end.Served)
+	reply(nc, "b.3 200 1 -\nv")
+	s.want(t, end.Served)
+	if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("an idle connection past the limit stayed: %v", err)
+	}
+	p.Call(attempt("c", 3, 2))
+	s.want(t, end.Crowded)
+	places.Limit(1)
+	p.Call(attempt("d", 3, 3))
+	<-srv.frames
+}
+
 // An answer by a name never asked there is a spoilt one: its connection serves no
 // further use, and what is out on it is told so. A second copy, or the answer to what
 // was given up, is neither.
--- a/router.go
+++ b/router.go
@@ -198,6 +198,10 @@
 			r.closeAttempt(e)
 		case Probed:
 			r.probed(e)
+		case Room:
+			r.set.MaxOpen = e.Open
+		case Warm:
+			r.probe(only(r.order, r.open), 0)
 		case ClientGone:
 			if q := r.byID[e.ID]; q != nil {
 				r.end(q)
@@ -801,9 +805,7 @@
 	list := r.candidates(p)
 	fresh := only(list, func(s *server) bool { return !r.set.Probes || r.now < s.replyUntil })
 	lasts := replyLasts * time.Duration(min(len(fresh), 1)*r.set.Peers)
-	for _, s := range only(list, func(s *server) bool { return !slices.Contains(fresh, s) }) {
-		r.probe(s, lasts)
-	}
+	r.probe(only(list, func(s *server) bool { return !slices.Contains(fresh, s) }), lasts)
 	if len(fresh) > 0 {
 		r.decide(p, list, fresh)
 	} else if len(list) > 0 {
@@ -816,19 +818,17 @@
 func (r *Router) renew(q *query) {
 	stale := time.Duration(reportStale * r.typical(q.Class))
 	for _, p := range q.parts {
-		for _, s := range r.reachable(p.shard) {
-			if r.set.Probes && r.now > s.reportAt+stale {
-				r.probe(s, stale)
-			}
-		}
+		r.probe(only(r.reachable(p.shard), func(s *server) bool { return r.now > s.reportAt+stale }), stale)
 	}
 }
 
-// probe asks a server that was not asked within the time given, or this turn.
-func (r *Router) probe(s *server, within time.Duration) {
-	if len(s.probes) == 0 || s.probes[len(s.probes)-1] < r.now-within {
-		s.probes = append(s.probes, r.now)
-		r.do(Probe{Server: s.id})
+// probe asks those servers that were not asked within the time given, or this turn.
+func (r *Router) probe(list []*server, within time.Duration) {
+	for _, s := range list {
+		if r.set.Probes && (len(s.probes) == 0 || s.probes[len(s.probes)-1] < r.now-within) {
+			s.probes = append(s.probes, r.now)
+			r.do(Probe{Server: s.id})
+		}
 	}
 }
 
--- a/router_test.go
+++ b/router_test.go
@@ -912,3 +912,14 @@
 		expect[Probe](t, b.last, 3)
 	}
 }
+
+// A node that is to be warm asks each of its servers once; one whose room changes holds no more than that.
+func TestWarmAndRoom(t *testing.T) {
+	b := newBed(t, settings())
+	b.turn(ListUpdate{Mode: ListDelta, Entries: []Entry{{Server: 3, Cell: 2, State: Draining}}})
+	expect[Probe](t, b.turn(Warm{}), 2)
+	b.turn(Room{Open: 2})
+	expect[Refuse](t, b.query(10, 0, 0, 1), 1)
+	b.turn(Room{Open: 3})
+	expect[Refuse](t, b.query(20, 0, 0, 1), 0)
+}
