--- a/router.go
+++ b/router.go
@@ -1,5 +1,4 @@
-// The interface of this package (settings, events, actions) is in api.go.
-// This file holds every decision and every tuned value of the router.
+// The interface of this package is in api.go; this file holds every decision and every tuned value.
 
 package linkpass
 
@@ -25,6 +24,8 @@
 	overdueMedians = 4    // a part is overdue at this multiple of its class's median latency
 	overdueGuess   = 0.4  // stands in for it before latencies are known, as a share of the aim
 	hedgeShare     = 0.6  // of the budget is open to second copies; the rest is kept for retries
+	copiesFree     = 10   // second copies may go out, and ...
+	copiesShare    = 0.1  // ... of what was taken lately: all further attempts count, as more feed a jam
 	finalMargin    = 2    // in ticks, is kept before the client's time to end a query
 	rounding       = 1e-4 // forgives sums of part weights
 	slowRatio      = 3    // at so many medians of its class a latency is half good
@@ -179,8 +180,9 @@
 		unit: newWindow(latencyWindow), values: newWindow(latencyWindow),
 		latency:  newWindows(len(set.Classes), latencyWindow),
 		tenants:  newWindows(len(set.Tenants), tenantWindow),
-		arrivals: newWindow(set.BudgetWindow), extras: newWindow(set.BudgetWindow),
-		askGap: askFirst, pressed: math.MinInt64 / 2, forget: float64(forgetLeast),
+		arrivals: newWindow(cmp.Or(set.BudgetWindow, latencyWindow)),
+		extras:   newWindow(cmp.Or(set.BudgetWindow, latencyWindow)),
+		askGap:   askFirst, pressed: math.MinInt64 / 2, forget: float64(forgetLeast),
 	}, nil
 }
 
@@ -472,10 +474,9 @@
 	}
 }
 
-// worthless tells whether a query is no longer worth its work: past its aim, with nothing to earn,
-// or while others are being refused for want of room and the share of the work still to do is more
-// than the share of worth still to earn. It guards every overload against answers that come late
-// in a row. It could harm where calling back saves nothing although copies may overlap.
+// worthless tells whether a query is no longer worth its work: past its aim, with nothing to earn, or while
+// others are refused for want of room and the share of work to do is above that of worth to earn. It guards
+// overloads against late answers in a row. It could harm where calling back saves nothing.
 func (r *Router) worthless(q *query, left float64) bool {
 	return r.now >= q.arrived+q.class.Aim && r.set.SecondCopies && q.class.Effect != Unsafe &&
 		(q.class.LateShare <= 0 || r.isPressed(q) && left > q.class.LateShare)
@@ -504,9 +505,8 @@
 	return r.latency[class].middle(r.now, overdueGuess/overdueMedians*float64(r.set.Classes[class].Aim))
 }
 
-// chase acts on a part whose latest attempt is overdue (copies may fall silent like the first): the
-// server is blamed and, where attempts may overlap, a further copy sent. Elsewhere the part waits for its
-// outcome: calling it back wins nothing, as what is called back goes on and the next one adds to the load.
+// chase acts on a part whose latest attempt is overdue (copies may fall silent like the first): the server is
+// blamed and, where attempts may overlap, a copy sent. Elsewhere it waits: what is called back goes on.
 func (r *Router) chase(p *part) {
 	if p.done || p.dead || p.wants || p.streamed || len(p.open) == 0 {
 		return
@@ -528,8 +528,7 @@
 	}
 }
 
-// mayResend tells whether a further attempt of a part is allowed now: by count, by effect and by
-// budget. It is asked again at the moment of sending.
+// mayResend tells whether a further attempt of a part is allowed now, as it is asked again on sending.
 func (r *Router) mayResend(p *part, hedge bool) bool {
 	if len(p.tried) == 0 {
 		return true
@@ -540,11 +539,14 @@
 		mayHaveRun && class.Effect == Keyed && r.now > p.firstRun+class.Window-r.set.Tick {
 		return false
 	}
-	budget := r.set.BudgetFree + r.set.BudgetShare*r.arrivals.total(r.now)
-	if hedge {
+	taken, extras := r.arrivals.total(r.now), float64(r.extras.count(r.now)+1)
+	budget := r.set.BudgetFree + r.set.BudgetShare*taken
+	if hedge && extras > copiesFree+copiesShare*taken {
+		return false
+	} else if hedge {
 		budget *= hedgeShare
 	}
-	return r.set.BudgetWindow == 0 || float64(r.extras.count(r.now)+1) <= budget
+	return r.set.BudgetWindow == 0 || extras <= budget
 }
 
 // closeAttempt books an outcome.
@@ -621,8 +623,7 @@
 	s.healthAt = r.now
 }
 
-// eligible tells whether a server may be sent a part now by what is known: the list, the cold
-// allowance, a pause after it was full.
+// eligible tells whether a server may be sent a part now: by the list, the cold allowance, its pauses.
 func (r *Router) eligible(s *server) bool { return r.open(s) && r.now >= s.fullUntil }
 
 // open is the same for a server that is only full: a query can wait until it is not.
@@ -666,12 +667,11 @@
 	return e.Since > 0 && r.now < e.Since+r.set.Cold
 }
 
-// coldGap is the time between two parts of this node to a cold server, for a part of the given
-// charge: when every front node keeps it, starting at a time of its own, all together stay under
-// FallMultiple of the server's present capacity in any window. What a warm server could take of one
-// node is what the mean one answered this node lately, set against how busy it says it is, and at
-// least one part at a time, shared among the nodes. That holds where a node meets a server less
-// than once a window. It could harm where capacity is far more than either: returns are used slowly.
+// coldGap is the time between two parts of this node to a cold server, for a part of the given charge: when
+// every front node keeps it, starting at a time of its own, all stay under FallMultiple of its present
+// capacity in any window. What a warm one could take of one node is what the mean one answered this node
+// lately, set against how busy it says it is, and at least one part at a time, shared among the nodes (a node
+// may meet it less than once a window). It could harm where capacity is far more: returns are used slowly.
 func (r *Router) coldGap(e Entry, charge float64) float64 {
 	share := r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, float64(r.now-e.Since)/float64(r.set.Cold))
 	busy := 0.0
--- a/router_test.go
+++ b/router_test.go
@@ -923,3 +923,23 @@
 	b.turn(Room{Open: 3})
 	expect[Refuse](t, b.query(20, 0, 0, 1), 0)
 }
+
+// Where every server is late, copies would add to the load that makes them late: they stop at a
+// share of what was taken. One part that is late among others still has its copy.
+func TestCopiesStopWhereAllIsLate(t *testing.T) {
+	for queries, most := range map[int]int{1: 3, 120: 40} {
+		b := newBed(t, settings())
+		b.known(1, 20*ms, 1, 2, 3)
+		for i := range queries {
+			b.turn(b.arrivals(RequestID(10+10*i), 0, 0)...)
+		}
+		sent := 0
+		for range 60 { // nothing is answered; each part is overdue after 80 ms
+			b.after(5*ms, reply(1, 0), reply(2, 0), reply(3, 0))
+			sent += len(of[Send](b.last))
+		}
+		if copies := sent - queries; copies < 1 || copies > most {
+			t.Errorf("%d copies of %d late parts, want 1 to %d", copies, queries, most)
+		}
+	}
+}
