End in time although a caller at the door or a client never reads or writes

Connections left then are closed outright (http1.Server.Close). Test: TestClientsThatLeaveAndThePlannedEnd hangs without it.

--- a/cmd/linkpass/run.go
+++ b/cmd/linkpass/run.go
@@ -34,6 +34,7 @@
 	lastCalls  = 600 * time.Millisecond // after SIGTERM connections that ask nothing are kept
 	killAfter  = 3 * time.Second
 	killMargin = 350 * time.Millisecond // of the 700 past that: for the last answers
+	lastWords  = 150 * time.Millisecond // for those answers to be written
 
 	memoryShare    = 0.6 // of the limit is the collector's; the rest is for what it does not see
 	defaultSockets = 1024
@@ -205,16 +206,25 @@
 	}
 	cancel()
 	<-coreDone
-	<-stopping
+	select {
+	case <-stopping:
+	case <-time.After(lastWords): // no deadline is swept any more: who does not read now never will
+		for _, front := range p.fronts {
+			front.Close()
+		}
+		<-stopping
+	}
 	p.links.Close()
 	if p.store != nil {
 		err = p.store.Close()
 	}
 	if p.door != nil {
 		_ = p.doorLn.Close()
-		p.door.Stop()
 	}
 	all.Wait()
+	if p.door != nil {
+		p.door.Close()
+	}
 	p.post.Close()
 	p.count.Print("exit")
 	log.Printf("event=stopped")
--- a/cmd/linkpass/run_test.go
+++ b/cmd/linkpass/run_test.go
@@ -348,7 +348,14 @@
 	if status, _ := b.query(b.platform, "whole", 15*time.Second, 1, 2); status != 200 {
 		t.Errorf("%d", status)
 	}
-	b.stop() // ends, though servers are silent, and leaves nothing unanswered
+	slow := connect(t, b.p.doorLn.Addr().String()) // a caller that never completes its call
+	if _, err := slow.nc.Write([]byte("GET /v1")); err != nil {
+		t.Fatal(err)
+	}
+	for b.p.count.Get("operator_conns") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.stop() // ends, though servers and callers are silent, and leaves nothing unanswered
 	b.rules()
 	if _, err := b.platform.r.Response(); err == nil {
 		t.Error("an idle connection outlived the program")
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -260,6 +260,17 @@
 	s.wg.Wait()
 }
 
+// Close closes all connections, whatever they are at, and waits until they have ended.
+// Serve must have returned. It needs the clock no more.
+func (s *Server) Close() {
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
 // Draining tells whether the server is about to stop.
 func (s *Server) Draining() bool {
 	s.mu.Lock()
