--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -9,6 +9,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Set is a group of named counters. Its methods may be called from anywhere.
@@ -54,6 +57,21 @@
 // Print logs every counter in one line.
 func (s *Set) Print(why string) { log.Printf("event=counters why=%s %s", why, s) }
 
+// Lines bounds the log lines of a kind that others can cause at will: a few at once, then
+// one a second. What is not logged is counted all the same. The zero value is ready.
+type Lines struct {
+	once sync.Once
+	some rate.Sometimes
+}
+
+const linesAtOnce = 20
+
+// Printf logs a line, unless there were too many.
+func (l *Lines) Printf(format string, args ...any) {
+	l.once.Do(func() { l.some = rate.Sometimes{First: linesAtOnce, Interval: time.Second} })
+	l.some.Do(func() { log.Printf(format, args...) })
+}
+
 // Figures are what the operators read. Each is changed in one place: where the thing
 // that it counts happens.
 type Figures struct {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -63,6 +63,7 @@
 	MaxConns int
 	MaxBody  int64
 
+	lines    counters.Lines // on requests that can't be read
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	draining bool
@@ -402,7 +403,7 @@
 		return // cut short: nobody is there to be told
 	}
 	c.server.Counters.Add(c.server.Name+"_malformed", 1)
-	log.Printf("event=request_malformed front=%s status=%d reason=%q", c.server.Name, bad.Status, bad.Reason)
+	c.server.lines.Printf("event=request_malformed front=%s status=%d reason=%q", c.server.Name, bad.Status, bad.Reason)
 	if c.write(&Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")}) {
 		c.linger()
 	}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log"
 	"slices"
 	"strconv"
 	"strings"
@@ -43,6 +42,7 @@
 	Counters *counters.Set
 
 	searches atomic.Uint64
+	lines    counters.Lines // on searches that are turned down
 }
 
 type shards struct {
@@ -96,7 +96,7 @@
 
 func (f *Front) reject(c *cause) *http1.Response {
 	f.Counters.Add("search_rejected", 1)
-	log.Printf("event=search_rejected status=%d type=%s reason=%q", c.Status, c.Type, c.Reason)
+	f.lines.Printf("event=search_rejected status=%d type=%s reason=%q", c.Status, c.Type, c.Reason)
 	return errorResponse(c)
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log"
 	"math"
 	"net/textproto"
 	"slices"
@@ -33,6 +32,8 @@
 	Counters *counters.Set
 	Ready    func() bool
 
+	lines counters.Lines // on requests that are no query
+
 	mu   sync.Mutex
 	open map[string]bool // names of the queries being answered
 }
@@ -77,7 +78,7 @@
 	}
 	if err != nil {
 		f.Counters.Add("platform_rejected", 1)
-		log.Printf("event=query_rejected front=platform status=%d err=%q", status, err)
+		f.lines.Printf("event=query_rejected front=platform status=%d err=%q", status, err)
 		return &http1.Response{Status: status, Body: []byte(err.Error() + "\n")}
 	}
 	defer f.leave(query.Name)
