End a connection that is mute while its server speaks on another

The counters: 43 and 55 connections fell silent; a third of the queries were refused unsent, as forecast (router.go) takes twice the age of what is out. A mute connection took no new work (peer.go, pick) but kept its parts until their time was over. Now it ends, with its parts, when the server speaks on another 50 ms after the probe or more: then it is not the server that stands still. Ruled out: full queues (3 to 5 turned away), errors (15 to 29), the list.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -345,6 +345,17 @@
 // spent tells whether a mute connection has nothing out that could still come.
 func (p *Peer) spent(c *conn) bool { return p.mute(c) && len(c.parts)+c.held == 0 }
 
+// dropSilent ends the connections that have been mute while the server spoke on another:
+// it is not the server that stands still, and what is out there will never come. Left
+// alone those parts would look like a queue at the server until their time was over.
+func (p *Peer) dropSilent(spoke *conn, at time.Duration) {
+	for _, c := range slices.Clone(p.conns) {
+		if c != spoke && p.mute(c) && at >= c.asked+p.cfg.ConnectTimeout/muteShare {
+			p.drop(c, end.Silent)
+		}
+	}
+}
+
 // forget notes that a part has ended. Its answer may still come.
 func (c *conn) forget(name string) {
 	delete(c.parts, name)
@@ -586,6 +597,7 @@
 		return
 	}
 	c.waits = false
+	p.dropSilent(c, at)
 	result := coordinator.Result{End: m.End, Report: m.Report, Value: m.Value, Score: m.Score, Hits: m.Hits, At: at}
 	if p.room.Exclusive {
 		m.Probe = m.Probe || len(c.probes) > 0
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -428,9 +428,9 @@
 	p.Forget(7)
 	p.Call(attempt("b", 3, 1))
 	<-srv.frames
+	p.Cancel(coordinator.AttemptID{Part: 1, No: 0}) // nothing is out on the first any more: it goes
 	reply(<-srv.conns, "b.3 200 1 -\nv")
 	s.want(t, end.Served)
-	p.Cancel(coordinator.AttemptID{Part: 1, No: 0}) // nothing is out on the first any more: it goes
 	p.Probe(8)                                      // goes out on the second one, which stays
 	for got := ""; got != "U"; {
 		got = <-srv.frames
@@ -439,3 +439,31 @@
 		t.Error("a third connection")
 	}
 }
+
+// What is out on a connection that fell silent ends as soon as the server speaks on another:
+// until its time was over it would look like a queue there.
+func TestSilentConnectionFreesItsParts(t *testing.T) {
+	srv := listen(t)
+	p, s := start(t, srv.ln.Addr().String())
+	p.Call(attempt("a", 3, 0))
+	<-srv.frames
+	<-srv.conns // says nothing from here on
+	p.Probe(7)
+	<-srv.frames
+	s.pass(50 * time.Millisecond)
+	p.Call(attempt("b", 3, 1)) // goes out on a second connection
+	<-srv.frames
+	second := <-srv.conns
+	reply(second, "b.3 200 1 -\nv")
+	if got := s.want(t, end.Silent); got.id.No != 0 {
+		t.Errorf("attempt %d ended", got.id.No)
+	}
+	s.want(t, end.Served)
+	if r := <-s.probed; r.End != end.Silent {
+		t.Errorf("the probe on it ended as %s", r.End)
+	}
+	p.Call(attempt("c", 3, 2)) // the second connection is sound
+	<-srv.frames
+	reply(second, "c.3 200 1 -\nv")
+	s.want(t, end.Served)
+}
