--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -431,7 +431,7 @@
 	p.Cancel(coordinator.AttemptID{Part: 1, No: 0}) // nothing is out on the first any more: it goes
 	reply(<-srv.conns, "b.3 200 1 -\nv")
 	s.want(t, end.Served)
-	p.Probe(8)                                      // goes out on the second one, which stays
+	p.Probe(8) // goes out on the second one, which stays
 	for got := ""; got != "U"; {
 		got = <-srv.frames
 	}
