--- /dev/null
+++ b/internal/layout/coverage/coverage.go
@@ -0,0 +1,133 @@
+// Package coverage tells what the answers of a query cover. It is the one place
+// that says whole or not where a layout can move. It is pure.
+package coverage
+
+import (
+	"slices"
+
+	"linkpass/internal/layout"
+)
+
+// Set is a set of keys: ranges in order, apart from each other. The zero value
+// is empty. Adding takes a search and a shift.
+type Set struct{ spans []layout.Range }
+
+// Of is the union of ranges.
+func Of(ranges ...layout.Range) Set {
+	sorted := slices.SortedFunc(slices.Values(ranges), func(a, b layout.Range) int {
+		if a.First < b.First {
+			return -1
+		}
+		return 1
+	})
+	var s Set
+	for _, r := range sorted {
+		if n := len(s.spans); n > 0 && (s.spans[n-1].Last >= r.First || s.spans[n-1].Last+1 == r.First) {
+			s.spans[n-1].Last = max(s.spans[n-1].Last, r.Last)
+		} else {
+			s.spans = append(s.spans, r)
+		}
+	}
+	return s
+}
+
+// Add takes a range in, unless it shares a key with what is in: then nothing
+// changes and it is false.
+func (s *Set) Add(r layout.Range) bool {
+	i, found := slices.BinarySearchFunc(s.spans, r.First, func(a layout.Range, first uint64) int {
+		if a.First < first {
+			return -1
+		}
+		if a.First > first {
+			return 1
+		}
+		return 0
+	})
+	if !r.Valid() || found || i > 0 && s.spans[i-1].Last >= r.First || i < len(s.spans) && s.spans[i].First <= r.Last {
+		return false
+	}
+	left := i > 0 && s.spans[i-1].Last+1 == r.First
+	right := i < len(s.spans) && r.Last+1 == s.spans[i].First
+	switch {
+	case left && right:
+		s.spans[i-1].Last = s.spans[i].Last
+		s.spans = slices.Delete(s.spans, i, i+1)
+	case left:
+		s.spans[i-1].Last = r.Last
+	case right:
+		s.spans[i].First = r.First
+	default:
+		s.spans = slices.Insert(s.spans, i, r)
+	}
+	return true
+}
+
+// Less is the keys of s that are not in o.
+func (s Set) Less(o Set) (out Set) {
+	for _, r := range s.spans {
+		left := true
+		for _, hole := range o.spans {
+			both, some := r.Overlap(hole)
+			if !some {
+				continue
+			}
+			if both.First > r.First {
+				out.spans = append(out.spans, layout.Range{First: r.First, Last: both.First - 1})
+			}
+			if both.Last == r.Last {
+				left = false
+				break
+			}
+			r.First = both.Last + 1
+		}
+		if left {
+			out.spans = append(out.spans, r)
+		}
+	}
+	return out
+}
+
+// Ranges lists the set in order.
+func (s Set) Ranges() []layout.Range { return slices.Clone(s.spans) }
+
+// Empty tells whether no key is in.
+func (s Set) Empty() bool { return len(s.spans) == 0 }
+
+// Size is the number of keys, rounded.
+func (s Set) Size() (n float64) {
+	for _, r := range s.spans {
+		n += r.Size()
+	}
+	return n
+}
+
+// Ledger books the answers of one query against what it wants.
+type Ledger struct {
+	wanted, in Set
+	doubled    bool
+}
+
+// NewLedger begins a query that wants the union of the ranges.
+func NewLedger(wanted ...layout.Range) *Ledger { return &Ledger{wanted: Of(wanted...)} }
+
+// Book takes an answer for a range in. It is false, and the answer must not be
+// used, where a key of it is in already or was never wanted.
+func (l *Ledger) Book(r layout.Range) bool {
+	if !r.Valid() || !Of(r).Less(l.wanted).Empty() || !l.in.Add(r) {
+		l.doubled = true
+		return false
+	}
+	return true
+}
+
+// Whole tells whether every wanted key is in exactly once.
+func (l *Ledger) Whole() bool { return l.wanted.Less(l.in).Empty() }
+
+// Doubled tells whether an answer was turned down.
+func (l *Ledger) Doubled() bool { return l.doubled }
+
+// Missing lists the ranges that are wanted and not in.
+func (l *Ledger) Missing() []layout.Range { return l.wanted.Less(l.in).Ranges() }
+
+// Weight is a range's share of what is wanted.
+func (l *Ledger) Weight(r layout.Range) float64 { return r.Size() / l.wanted.Size() }
--- /dev/null
+++ b/internal/layout/coverage/coverage_test.go
@@ -0,0 +1,84 @@
+package coverage
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/layout"
+	_ "linkpass/internal/seeded"
+)
+
+// place maps a small model's key onto the ends and the middle of the key space, so that its
+// first and last keys are met.
+func place(i int) layout.Range {
+	const n = 24
+	return layout.All.Cut(n)[i]
+}
+
+func span(t *rapid.T) (from, to int) {
+	from = rapid.IntRange(0, 23).Draw(t, "from")
+	return from, min(23, from+rapid.IntRange(0, 8).Draw(t, "n"))
+}
+
+func over(from, to int) layout.Range {
+	return layout.Range{First: place(from).First, Last: place(to).Last}
+}
+
+// The ledger agrees with a model that counts each key by itself.
+func TestLedgerAgreesWithCountingEveryKey(t *testing.T) {
+	wholes := 0
+	rapid.Check(t, func(t *rapid.T) {
+		var wanted, in [24]bool
+		var ranges []layout.Range
+		for range rapid.IntRange(1, 3).Draw(t, "wanted") {
+			from, to := span(t)
+			ranges = append(ranges, over(from, to))
+			for i := from; i <= to; i++ {
+				wanted[i] = true
+			}
+		}
+		l := NewLedger(ranges...)
+		for range rapid.IntRange(0, 12).Draw(t, "answers") {
+			from, to := span(t)
+			if holes := l.Missing(); len(holes) > 0 && rapid.Bool().Draw(t, "fill") {
+				for from = 0; place(from).First != holes[0].First; from++ {
+				}
+				for to = from; place(to).Last != holes[0].Last; to++ {
+				}
+			}
+			fits := true
+			for i := from; i <= to; i++ {
+				fits = fits && wanted[i] && !in[i]
+			}
+			if got := l.Book(over(from, to)); got != fits {
+				t.Fatalf("booked %d to %d: %v, want %v", from, to, got, fits)
+			}
+			for i := from; i <= to && fits; i++ {
+				in[i] = true
+			}
+		}
+		missing, size := Of(l.Missing()...), 0.0
+		for i := range wanted {
+			hole := wanted[i] && !in[i]
+			if got := Of(place(i)).Less(missing).Empty(); got != hole {
+				t.Fatalf("key %d missing: %v, want %v", i, got, hole)
+			}
+			if wanted[i] {
+				size += l.Weight(place(i))
+			}
+		}
+		if l.Whole() != (wanted == in) {
+			t.Fatalf("whole: %v, wanted %v, in %v", l.Whole(), wanted, in)
+		}
+		if l.Whole() {
+			wholes++
+		}
+		if size < 0.999999 || size > 1.000001 {
+			t.Fatalf("weights add up to %g", size)
+		}
+	})
+	if wholes == 0 {
+		t.Error("no run was whole")
+	}
+}
--- /dev/null
+++ b/internal/layout/replan/replan.go
@@ -0,0 +1,136 @@
+// Package replan finds the parts that take the place of those whose slice has
+// gone: planned on one version of a layout, asked for on a newer one. It is pure.
+package replan
+
+import (
+	"time"
+
+	"linkpass/internal/layout"
+)
+
+// MaxRounds is how often what a part asks for may be planned anew.
+const MaxRounds = 4
+
+// Standing is where a part stands.
+type Standing uint8
+
+// The standings.
+const (
+	Waiting Standing = iota // nothing of it is out, and it is not in
+	Out                     // an attempt is out that may still answer
+	In                      // it is answered
+)
+
+// Part is one part of a query, as it was planned.
+type Part struct {
+	Slice    layout.SliceID
+	Range    layout.Range // what it asks for: of the slice, or of all that is left of it
+	Round    int
+	Standing Standing
+}
+
+// Plan cuts the wanted ranges, which share no key, along the slices of a version: a part each.
+func Plan(l *layout.Layout, wanted []layout.Range) (out []Part) {
+	for _, r := range wanted {
+		l.Each(r, func(s layout.Slice) bool {
+			if both, some := s.Range.Overlap(r); some {
+				out = append(out, Part{Slice: s.ID, Range: both})
+			}
+			return true
+		})
+	}
+	return out
+}
+
+// Change is parts that give way and those that take their place. Both ask for the
+// same keys, each once.
+type Change struct {
+	Drop []int // of the parts given
+	Add  []Part
+}
+
+// Refusal is why a part stays as it is.
+type Refusal string
+
+// The refusals.
+const (
+	Done       Refusal = ""
+	Answered   Refusal = "answered"   // nothing to plan
+	Unknown    Refusal = "unknown"    // the layout is no newer than what the part was planned on, or is gone
+	Spent      Refusal = "spent"      // it has had its rounds
+	NoTime     Refusal = "no_time"    // a new attempt could not end in time
+	Incoherent Refusal = "incoherent" // the layout does not serve the range
+)
+
+// Replan plans part i anew on a version in which its slice no longer serves. left is
+// the time that the query still has, need what an attempt takes at the least.
+//
+// The range is cut along the slices that serve it now: the least number of parts that
+// can ask for it. A waiting sibling whose own slice is gone too joins a neighbour that goes
+// to the same slice: one attempt in place of two. A sibling that is in or out is kept,
+// since asking for its keys again costs an attempt and keeping it costs none.
+func Replan(now *layout.Layout, parts []Part, i int, left, need time.Duration) (Change, Refusal) {
+	p := parts[i]
+	switch {
+	case p.Standing == In:
+		return Change{}, Answered
+	case now == nil:
+		return Change{}, Unknown
+	case p.Round >= MaxRounds:
+		return Change{}, Spent
+	case left <= need:
+		return Change{}, NoTime
+	}
+	if s, ok := now.Slice(p.Slice); ok && s.Range.Holds(p.Range) {
+		return Change{}, Unknown
+	}
+	c := Change{Drop: []int{i}, Add: Plan(now, []layout.Range{p.Range})}
+	covered := 0.0
+	for k := range c.Add {
+		c.Add[k].Round = p.Round + 1
+		covered += c.Add[k].Range.Size()
+	}
+	if len(c.Add) == 0 || covered != p.Range.Size() && !exact(c.Add, p.Range) {
+		return Change{}, Incoherent
+	}
+	for k, sibling := range parts {
+		if k != i && sibling.Standing == Waiting && sibling.Round < MaxRounds {
+			c.join(now, k, sibling)
+		}
+	}
+	return c, Done
+}
+
+// exact tells whether parts in order of keys make up a range without a gap: sizes are rounded.
+func exact(parts []Part, r layout.Range) bool {
+	next := r.First
+	for _, p := range parts {
+		if p.Range.First != next {
+			return false
+		}
+		next = p.Range.Last + 1
+	}
+	return parts[len(parts)-1].Range.Last == r.Last
+}
+
+// join takes a waiting sibling along, if all of it lies beside a new part in one slice.
+func (c *Change) join(now *layout.Layout, k int, sibling Part) {
+	for a := range c.Add {
+		target, ok := now.Slice(c.Add[a].Slice)
+		if !ok || !target.Range.Holds(sibling.Range) {
+			continue
+		}
+		r := &c.Add[a].Range
+		switch {
+		case r.Last != ^uint64(0) && sibling.Range.First == r.Last+1:
+			r.Last = sibling.Range.Last
+		case r.First != 0 && sibling.Range.Last == r.First-1:
+			r.First = sibling.Range.First
+		default:
+			continue
+		}
+		c.Add[a].Round = max(c.Add[a].Round, sibling.Round+1)
+		c.Drop = append(c.Drop, k)
+		return
+	}
+}
--- /dev/null
+++ b/internal/layout/replan/replan_test.go
@@ -0,0 +1,166 @@
+package replan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/layout"
+	"linkpass/internal/layout/coverage"
+	_ "linkpass/internal/seeded"
+)
+
+// reshape carries one change through to its switch.
+func reshape(t *rapid.T, l *layout.Layout) *layout.Layout {
+	all := l.Slices()
+	i := rapid.IntRange(0, len(all)-1).Draw(t, "slice")
+	o := layout.Order{Kind: layout.Split, Slices: []layout.SliceID{all[i].ID}, Into: rapid.IntRange(2, 3).Draw(t, "into")}
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		if i+1 < len(all) {
+			o = layout.Order{Kind: layout.Merge, Slices: []layout.SliceID{all[i].ID, all[i+1].ID}}
+		}
+	case 1:
+		o = layout.Order{Kind: layout.Move, Slices: []layout.SliceID{all[i].ID}, To: [][]string{{"z"}}}
+	}
+	l, err := l.Apply(layout.Command{Order: &o})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := l.Plans()[len(l.Plans())-1]
+	a := layout.Advance{Plan: p.ID, Holding: map[layout.SliceID][]string{}}
+	for _, s := range p.To {
+		a.Holding[s.ID] = s.Holders
+	}
+	for _, step := range []layout.Step{layout.Copying, layout.BothHold, layout.Switched, layout.Retired} {
+		a.Step = step
+		if l, err = l.Apply(layout.Command{Advance: &a}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l
+}
+
+// Whatever changes and whichever part is told so, the parts ask for every wanted key exactly
+// once at all times, each of one slice, in bounded rounds, and never in more parts than slices
+// that serve what was replaced.
+func TestReplanningKeepsEveryKeyOnceAndEnds(t *testing.T) {
+	joined := 0
+	rapid.Check(t, func(t *rapid.T) {
+		l, err := layout.Even(rapid.IntRange(1, 6).Draw(t, "n"), [][]string{{"a"}, {"b"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		wanted := layout.All.Cut(7)[rapid.IntRange(0, 3).Draw(t, "from"):]
+		whole := layout.Range{First: wanted[0].First, Last: wanted[len(wanted)-1].Last}
+		parts := Plan(l, []layout.Range{whole})
+		rounds := 0
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			l = reshape(t, l)
+			for told := true; told; {
+				told = false
+				for i, p := range parts {
+					if s, ok := l.Slice(p.Slice); ok && s.Range.Holds(p.Range) || p.Standing == In {
+						continue
+					}
+					c, why := Replan(l, parts, i, time.Second, time.Millisecond)
+					if why == Spent && p.Round >= MaxRounds {
+						continue
+					}
+					if why != Done {
+						t.Fatalf("part %+v: %s", p, why)
+					}
+					serving := 0
+					l.Each(p.Range, func(layout.Slice) bool { serving++; return true })
+					if len(c.Add) != serving {
+						t.Fatalf("%d parts for %d slices", len(c.Add), serving)
+					}
+					joined += len(c.Drop) - 1
+					parts, told = apply(parts, c), true
+					rounds++
+					break
+				}
+				check(t, parts, whole)
+			}
+			for i := range parts {
+				if parts[i].Standing == Waiting {
+					parts[i].Standing = Standing(rapid.IntRange(0, 2).Draw(t, "standing"))
+				}
+			}
+		}
+		if rounds > 200 {
+			t.Fatalf("%d rounds", rounds)
+		}
+	})
+	if joined == 0 {
+		t.Error("no run joined a sibling")
+	}
+}
+
+func apply(parts []Part, c Change) (out []Part) {
+	for i, p := range parts {
+		keep := true
+		for _, d := range c.Drop {
+			keep = keep && d != i
+		}
+		if keep {
+			out = append(out, p)
+		}
+	}
+	return append(out, c.Add...)
+}
+
+func check(t *rapid.T, parts []Part, whole layout.Range) {
+	ledger := coverage.NewLedger(whole)
+	for _, p := range parts {
+		if !ledger.Book(p.Range) {
+			t.Fatalf("%s is asked for twice", p.Range)
+		}
+	}
+	if !ledger.Whole() {
+		t.Fatalf("nobody asks for %v", ledger.Missing())
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	l, _ := layout.Even(2, [][]string{{"a"}})
+	gone := []Part{{Slice: 1, Range: layout.All}}
+	for want, got := range map[Refusal]func() (Change, Refusal){
+		Unknown:  func() (Change, Refusal) { return Replan(nil, gone, 0, time.Second, 0) },
+		NoTime:   func() (Change, Refusal) { return Replan(l, gone, 0, time.Millisecond, time.Millisecond) },
+		Spent:    func() (Change, Refusal) { return Replan(l, []Part{{Round: MaxRounds}}, 0, time.Second, 0) },
+		Answered: func() (Change, Refusal) { return Replan(l, []Part{{Standing: In}}, 0, time.Second, 0) },
+	} {
+		if _, why := got(); why != want {
+			t.Errorf("refused as %q, want %q", why, want)
+		}
+	}
+	serving := Plan(l, []layout.Range{layout.All})
+	if _, why := Replan(l, serving, 0, time.Second, 0); why != Unknown {
+		t.Errorf("a slice that serves was replaced (%q): a server may claim a version that does not exist", why)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{10, 1000, 100_000} {
+		l, err := layout.Even(n, [][]string{{"a", "b"}, {"c", "d"}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		var wanted []layout.Range // eight keys, as a search with routing asks for
+		for i := range 8 {
+			k := layout.Key(fmt.Sprint(i))
+			wanted = append(wanted, layout.Range{First: k, Last: k})
+		}
+		b.Run(fmt.Sprintf("slices=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(Plan(l, wanted)) != 8 {
+					b.Fatal("a part is missing")
+				}
+			}
+		})
+	}
+}
