Module: shards placed by name, parts that give way, and an outcome that says moved

With a layout that moves, a slice's holders come by event and not by cells, and a part may learn that its slice has gone. api.go takes Placed, Replaced and the code Stale, which never ran and blames nobody.

--- a/api.go
+++ b/api.go
@@ -53,8 +53,8 @@
 	Need       float64       // weight of parts that makes an answer whole
 	Floor      float64       // least weight of parts for any answer
 	Partial    float64       // what an answer not marked whole earns, times share over need
-	FetchParts int           // parts of the second step; 0: none
-	Stream     bool
+	FetchParts int           // parts of a second step: such queries are refused
+	Stream     bool          // the same
 }
 
 // Tenant describes one tenant's share.
@@ -175,9 +175,10 @@
 	Reset              // may have run
 	Cancelled          // may have run
 	Moot               // never sent
+	Stale              // never ran: the shard has moved; Replaced follows in the same turn
 )
 
-// Started says that a stream's answer has begun.
+// Started says that a stream's answer has begun; the router serves none.
 type Started struct {
 	ID      RequestID
 	Attempt int
@@ -215,6 +216,21 @@
 // Warm says that the node is to know its servers before clients come.
 type Warm struct{}
 
+// Placed names the replicas of a shard, in place of what its cells say; none: it has gone.
+type Placed struct {
+	Shard   int
+	Servers []ServerID
+}
+
+// Replaced says that parts of an open query, whose shards have moved, give way to others
+// that ask for the same. These arrive with it, at shards that were placed. They are admitted
+// with their query and begin with the attempts that may count against them: the most of
+// any part that gives way, less the last, which came to nothing because of the move.
+type Replaced struct {
+	IDs   []RequestID
+	Parts []Arrival
+}
+
 // PeerMessage is a message from another front node. The router sends none and
 // reads none; hosts may pass it on all the same.
 type PeerMessage struct {
@@ -231,6 +247,8 @@
 func (Probed) event()      {}
 func (Room) event()        {}
 func (Warm) event()        {}
+func (Placed) event()      {}
+func (Replaced) event()    {}
 func (PeerMessage) event() {}
 
 // Action is something the front node is to do, in the order returned.
@@ -258,7 +276,7 @@
 // Fail ends a query with no promise about its effect.
 type Fail struct{ ID RequestID }
 
-// Answer merges the parts that are in; it ends the query or its first step.
+// Answer merges the parts that are in; it ends the query.
 type Answer struct {
 	ID    RequestID
 	Whole bool
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,7 +6,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"log"
 	"sync"
 	"sync/atomic"
@@ -235,9 +235,9 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, class := range c.Settings.Classes {
+	for i, class := range c.Settings.Classes {
 		if class.FetchParts > 0 || class.Stream {
-			return nil, errors.New("coordinator: classes with a second step or a stream are not served")
+			return nil, fmt.Errorf("coordinator: class %d has a second step or a stream, which are not served", i)
 		}
 	}
 	return &Core{
--- a/router.go
+++ b/router.go
@@ -96,18 +96,19 @@
 
 // part is one part of an open query.
 type part struct {
-	id              RequestID
-	query           *query
-	shard           int
-	weight          float64
-	tried           []*server // one for each attempt
-	open            []*attempt
-	done, dead      bool // answered; nothing more can be tried
-	wants, streamed bool // waits to be placed; its stream has begun
-	race            *race
-	decideAt        time.Duration
-	ran             bool          // an attempt may have run
-	firstRun        time.Duration // when the first that may have run was sent
+	id         RequestID
+	query      *query
+	shard      int
+	weight     float64
+	tried      []*server // one for each attempt
+	spent      int       // attempts of those that it came from
+	open       []*attempt
+	done, dead bool // answered; nothing more can be tried
+	wants      bool // waits to be placed
+	race       *race
+	decideAt   time.Duration
+	ran        bool          // an attempt may have run
+	firstRun   time.Duration // when the first that may have run was sent
 }
 
 // attempt is one send whose outcome is still to come.
@@ -130,10 +131,8 @@
 	Arrival
 	class         *Class
 	arrived, ends time.Duration
-	parts         []*part // of the step in hand
-	second        bool    // in the second step
-	whole         bool    // the first step's answer was complete
-	fresh, closed bool    // not yet admitted; ended
+	parts         []*part
+	fresh, closed bool // not yet admitted; ended
 }
 
 // Router decides for one front node.
@@ -143,9 +142,10 @@
 	now                  time.Duration
 	actions              []Action
 	servers              map[ServerID]*server
-	order                []*server   // by id
-	holders              [][]*server // by shard
-	queries              []*query    // open, by arrival
+	order                []*server          // by id
+	holders              map[int][]*server  // by shard
+	placed               map[int][]ServerID // of these instead of by cells
+	queries              []*query           // open, by arrival
 	byID                 map[RequestID]*query
 	byNumber             map[uint64]*query
 	parts                map[RequestID]*part
@@ -176,6 +176,7 @@
 		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Shards))),
 		servers: map[ServerID]*server{}, byID: map[RequestID]*query{}, byNumber: map[uint64]*query{},
 		parts: map[RequestID]*part{}, calls: map[*server]int{}, attempts: map[attemptKey]*attempt{},
+		holders: map[int][]*server{}, placed: map[int][]ServerID{},
 		all: newWindow(latencyWindow), replies: newWindow(latencyWindow),
 		unit: newWindow(latencyWindow), values: newWindow(latencyWindow),
 		latency:  newWindows(len(set.Classes), latencyWindow),
@@ -202,16 +203,19 @@
 			r.probed(e)
 		case Room:
 			r.set.MaxOpen = e.Open
+		case Placed:
+			delete(r.holders, e.Shard)
+			if r.placed[e.Shard] = e.Servers; len(e.Servers) == 0 {
+				delete(r.placed, e.Shard)
+			}
+		case Replaced:
+			r.replace(e)
 		case Warm:
 			r.probe(only(r.order, r.open), 0)
 		case ClientGone:
 			if q := r.byID[e.ID]; q != nil {
 				r.end(q)
 			}
-		case Started:
-			if p := r.parts[e.ID]; p != nil {
-				p.streamed = true
-			}
 		}
 	}
 	if r.set.Subscribe && !r.asked && r.now >= r.askAt {
@@ -271,15 +275,23 @@
 		s.entry, s.listed = e, e.State != Gone
 	}
 	slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-	r.holders = make([][]*server, r.set.Shards)
-	for shard := range r.holders {
-		for _, s := range r.order {
+	clear(r.holders)
+}
+
+// replicas lists the servers that hold a shard: those placed there, or else those of its cells.
+func (r *Router) replicas(shard int) []*server {
+	list, known := r.holders[shard]
+	if !known {
+		ids, placed := r.placed[shard]
+		byCell := !placed && shard < r.set.Shards
+		list = only(r.order, func(s *server) bool {
 			away := ((s.entry.Cell-shard)%r.set.Cells + r.set.Cells) % r.set.Cells
-			if s.listed && s.entry.Cell < r.set.Cells && away < r.set.Reach {
-				r.holders[shard] = append(r.holders[shard], s)
-			}
-		}
+			return s.listed && (slices.Contains(ids, s.id) || byCell && s.entry.Cell < r.set.Cells &&
+				away < r.set.Reach)
+		})
+		r.holders[shard] = list
 	}
+	return list
 }
 
 // Queries.
@@ -295,7 +307,7 @@
 		return
 	}
 	q := r.byNumber[a.Query]
-	if q == nil || a.Shard >= r.set.Shards {
+	if q == nil {
 		return
 	}
 	p := &part{id: a.ID, query: q, shard: a.Shard, weight: a.Amount, wants: true}
@@ -303,6 +315,24 @@
 	r.parts[a.ID] = p
 }
 
+// replace takes parts out whose shard has moved and takes in those that ask for the same elsewhere.
+func (r *Router) replace(e Replaced) {
+	spent, ran := 0, false
+	for _, id := range e.IDs {
+		if p := r.parts[id]; p != nil && !p.done {
+			spent, ran = max(spent, p.spent+len(p.tried)-1), ran || p.ran
+			p.query.parts = slices.DeleteFunc(p.query.parts, func(o *part) bool { return o == p })
+			r.dropPart(p)
+		}
+	}
+	for _, a := range e.Parts {
+		r.arrive(a)
+		if p := r.parts[a.ID]; p != nil {
+			p.spent, p.ran = spent, ran
+		}
+	}
+}
+
 // admit decides once on a new query.
 func (r *Router) admit(q *query) {
 	if q.closed || !q.fresh {
@@ -320,7 +350,8 @@
 	mean, worst := r.forecast(q)
 	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
 	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
-	if len(q.parts) == 0 || crowded || mean > limit || worst > hopelessShare*float64(q.class.Aim) {
+	unserved := q.class.FetchParts > 0 || q.class.Stream
+	if len(q.parts) == 0 || unserved || crowded || mean > limit || worst > hopelessShare*float64(q.class.Aim) {
 		if crowded || mean > limit {
 			r.pressed = r.now // a shard that is hot or gone presses no other
 		}
@@ -336,11 +367,11 @@
 	if q.Tenant < len(r.tenants) {
 		r.tenants[q.Tenant].add(r.now, 1)
 		quota := r.set.Tenants[q.Tenant].QuotaPerSecond / float64(r.set.Peers) * tenantWindow.Seconds()
-		if quota > 0 && r.tenants[q.Tenant].total(r.now) > overShare*quota {
+		if quota > 0 && float64(r.tenants[q.Tenant].count(r.now)) > overShare*quota {
 			worth *= r.set.OverShareWorth
 		}
 	}
-	value := worth / (r.charge(q.Class) * float64(max(1, len(q.parts)+q.class.FetchParts)))
+	value := worth / (r.charge(q.Class) * float64(max(1, len(q.parts))))
 	r.values.add(r.now, value)
 	return value
 }
@@ -373,7 +404,7 @@
 // reachable lists the replicas that may take a part, without those that lost probes in a row if others
 // are left: forecasts guard so against cut links. It could harm where probes are lost by chance alone.
 func (r *Router) reachable(shard int) []*server {
-	return prefer(only(r.holders[shard], r.open), func(s *server) bool { return s.lost < lostGone })
+	return prefer(only(r.replicas(shard), r.open), func(s *server) bool { return s.lost < lostGone })
 }
 
 // prefer narrows a list to the servers that are good, or leaves it as it is if none are.
@@ -405,22 +436,23 @@
 	if r.byNumber[q.Query] == q {
 		delete(r.byNumber, q.Query)
 	}
-	r.dropParts(q)
-}
-
-func (r *Router) dropParts(q *query) {
 	for _, p := range q.parts {
-		p.wants = false
-		delete(r.parts, p.id)
-		for _, a := range p.open {
-			r.cancel(a)
-		}
+		r.dropPart(p)
 	}
 	q.parts = nil
 }
 
+// dropPart forgets a part and calls its attempts back.
+func (r *Router) dropPart(p *part) {
+	p.wants = false
+	delete(r.parts, p.id)
+	for _, a := range p.open {
+		r.cancel(a)
+	}
+}
+
 func (r *Router) cancel(a *attempt) {
-	if r.set.Cancel && !a.cancelled && !a.part.streamed {
+	if r.set.Cancel && !a.cancelled {
 		a.cancelled = true
 		r.do(Cancel{ID: a.part.id, Attempt: a.no})
 	}
@@ -432,10 +464,8 @@
 	if q.closed {
 		return
 	}
-	var in, may float64
-	waiting, streams := false, false // a stream that has begun is the client's; its time stands still
+	in, may, waiting := 0.0, 0.0, false
 	for _, p := range q.parts {
-		streams = streams || p.streamed
 		if p.wants {
 			r.waiting++
 		}
@@ -447,25 +477,18 @@
 		}
 	}
 	floor, whole := q.class.Floor, in >= q.class.Need-rounding
-	if q.second {
-		whole = q.whole && !waiting && in >= 1-rounding
-		if floor >= q.class.Need {
-			floor = 1
-		}
-	}
-	late := r.now >= q.ends-finalMargin*r.set.Tick && !streams
+	late := r.now >= q.ends-finalMargin*r.set.Tick
 	enough := in >= floor-rounding && len(q.parts) > 0
 	switch {
-	case len(q.parts) == 0 && q.second && !late:
-		// The second step's parts come with the next turn.
 	case whole, enough && (late || !waiting):
-		r.answer(q, whole)
+		r.do(Answer{ID: q.ID, Whole: whole})
+		r.end(q)
 	case late, in+may < floor-rounding && q.class.Effect != Safe:
 		r.do(Fail{ID: q.ID})
 		r.end(q)
 	case in+may < floor-rounding:
 		r.refuse(q, time.Duration(r.typical(q.Class)))
-	case !enough && !streams && r.worthless(q, may):
+	case !enough && r.worthless(q, may):
 		r.refuse(q, r.set.MaxRetryAfter)
 	default:
 		for _, p := range q.parts {
@@ -487,17 +510,6 @@
 	return r.now < r.pressed+time.Duration(pressAims*float64(q.class.Aim))
 }
 
-// answer merges what is in; a class with a second step goes on with that.
-func (r *Router) answer(q *query, whole bool) {
-	r.do(Answer{ID: q.ID, Whole: whole})
-	if !q.second && q.class.FetchParts > 0 {
-		q.second, q.whole = true, whole
-		r.dropParts(q)
-		return
-	}
-	r.end(q)
-}
-
 // Attempts.
 
 // typical is the median latency of a class, or a guess from its aim.
@@ -508,7 +520,7 @@
 // chase acts on a part whose latest attempt is overdue (copies may fall silent like the first): the server is
 // blamed and, where attempts may overlap, a copy sent. Elsewhere it waits: what is called back goes on.
 func (r *Router) chase(p *part) {
-	if p.done || p.dead || p.wants || p.streamed || len(p.open) == 0 {
+	if p.done || p.dead || p.wants || len(p.open) == 0 {
 		return
 	}
 	a := p.open[len(p.open)-1]
@@ -530,16 +542,16 @@
 
 // mayResend tells whether a further attempt of a part is allowed now, as it is asked again on sending.
 func (r *Router) mayResend(p *part, hedge bool) bool {
-	if len(p.tried) == 0 {
+	if p.spent+len(p.tried) <= 0 {
 		return true
 	}
 	class, mayHaveRun := p.query.class, p.ran || len(p.open) > 0
-	if r.set.MaxAttempts > 0 && len(p.tried) >= r.set.MaxAttempts || p.streamed ||
+	if r.set.MaxAttempts > 0 && p.spent+len(p.tried) >= r.set.MaxAttempts ||
 		mayHaveRun && class.Effect == Unsafe ||
 		mayHaveRun && class.Effect == Keyed && r.now > p.firstRun+class.Window-r.set.Tick {
 		return false
 	}
-	taken, extras := r.arrivals.total(r.now), float64(r.extras.count(r.now)+1)
+	taken, extras := float64(r.arrivals.count(r.now)), float64(r.extras.count(r.now)+1)
 	budget := r.set.BudgetFree + r.set.BudgetShare*taken
 	if hedge && extras > copiesFree+copiesShare*taken {
 		return false
@@ -584,7 +596,7 @@
 	case TimedOut:
 		r.blame(a)
 	}
-	p.ran = p.ran || o.Code != Full && o.Code != ConnectFailed && o.Code != Moot
+	p.ran = p.ran || o.Code != Full && o.Code != ConnectFailed && o.Code != Moot && o.Code != Stale
 	if q.closed || r.parts[p.id] != p || p.done {
 		return
 	}
@@ -638,7 +650,7 @@
 	r.now = max(r.now, now)
 	listed := only(r.order, func(s *server) bool { return s.listed })
 	return len(listed), len(only(listed, func(s *server) bool {
-		sick, twins := s.out == 0 && r.now >= s.sentAt+aloneFor, r.holders[s.entry.Cell%r.set.Shards]
+		sick, twins := s.out == 0 && r.now >= s.sentAt+aloneFor, r.replicas(s.entry.Cell%r.set.Shards)
 		for class := range s.health {
 			sick = sick && r.health(s, class) < suspectRatio*r.bestHealth(twins, class)
 		}
@@ -771,7 +783,7 @@
 // them, replicas far less healthy than the shard's best are left out: they are compared with each other,
 // so that trouble which hits all of them ejects none and the last holder is never shut out.
 func (r *Router) candidates(p *part) []*server {
-	out := only(r.holders[p.shard], func(s *server) bool {
+	out := only(r.replicas(p.shard), func(s *server) bool {
 		return r.eligible(s) && !slices.ContainsFunc(p.open, func(a *attempt) bool { return a.server == s })
 	})
 	class := p.query.Class
@@ -889,7 +901,7 @@
 		return
 	}
 	heard, sum := 0, 0.0
-	for _, s := range r.holders[p.shard] {
+	for _, s := range r.replicas(p.shard) {
 		heard += min(1, s.latency.count(r.now))
 		sum += s.latency.middle(r.now, 0)
 	}
--- a/window.go
+++ b/window.go
@@ -5,14 +5,13 @@
 	"time"
 )
 
-// window holds timed samples of the last span of time: sums, counts, medians. The samples are kept in
+// window holds timed samples of the last span of time: counts, medians. The samples are kept in
 // order of size as they come and go: to sort them for each median took four fifths of a node's CPU.
 type window struct {
 	span   time.Duration
 	at     []time.Duration
 	values []float64
 	sorted []float64
-	sum    float64
 }
 
 func newWindow(span time.Duration) *window { return &window{span: span} }
@@ -23,14 +22,12 @@
 	w.at, w.values = append(w.at, now), append(w.values, v)
 	i, _ := slices.BinarySearch(w.sorted, v)
 	w.sorted = slices.Insert(w.sorted, i, v)
-	w.sum += v
 }
 
 // trim drops the samples that are span old or older.
 func (w *window) trim(now time.Duration) {
 	n := 0
 	for n < len(w.at) && w.at[n] <= now-w.span {
-		w.sum -= w.values[n]
 		i, _ := slices.BinarySearch(w.sorted, w.values[n])
 		w.sorted = slices.Delete(w.sorted, i, i+1)
 		n++
@@ -40,9 +37,6 @@
 	}
 	w.at = slices.Delete(w.at, 0, n)
 	w.values = slices.Delete(w.values, 0, n)
-	if len(w.at) == 0 {
-		w.sum = 0 // sheds rounding
-	}
 }
 
 // count is the number of samples held.
@@ -51,12 +45,6 @@
 	return len(w.at)
 }
 
-// total is the sum of the samples held.
-func (w *window) total(now time.Duration) float64 {
-	w.trim(now)
-	return w.sum
-}
-
 // middle is the median of the samples held, or otherwise where there are none.
 func (w *window) middle(now time.Duration, otherwise float64) float64 {
 	w.trim(now)
