--- a/api.go
+++ b/api.go
@@ -229,6 +229,7 @@
 type Replaced struct {
 	IDs   []RequestID
 	Parts []Arrival
+	In    float64 // weight that is in of the parts that give way: a piece was answered
 }
 
 // PeerMessage is a message from another front node. The router sends none and
--- a/router.go
+++ b/router.go
@@ -131,6 +131,7 @@
 	Arrival
 	class         *Class
 	arrived, ends time.Duration
+	in            float64 // weight that came in by pieces of parts
 	parts         []*part
 	fresh, closed bool // not yet admitted; ended
 }
@@ -321,6 +322,7 @@
 	for _, id := range e.IDs {
 		if p := r.parts[id]; p != nil && !p.done {
 			spent, ran = max(spent, p.spent+len(p.tried)-1), ran || p.ran
+			p.query.in, e.In = p.query.in+e.In, 0
 			p.query.parts = slices.DeleteFunc(p.query.parts, func(o *part) bool { return o == p })
 			r.dropPart(p)
 		}
@@ -350,8 +352,8 @@
 	mean, worst := r.forecast(q)
 	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
 	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
-	unserved := q.class.FetchParts > 0 || q.class.Stream
-	if len(q.parts) == 0 || unserved || crowded || mean > limit || worst > hopelessShare*float64(q.class.Aim) {
+	hopeless := worst > hopelessShare*float64(q.class.Aim) || q.class.FetchParts > 0 || q.class.Stream
+	if len(q.parts) == 0 || crowded || mean > limit || hopeless {
 		if crowded || mean > limit {
 			r.pressed = r.now // a shard that is hot or gone presses no other
 		}
@@ -442,7 +444,6 @@
 	q.parts = nil
 }
 
-// dropPart forgets a part and calls its attempts back.
 func (r *Router) dropPart(p *part) {
 	p.wants = false
 	delete(r.parts, p.id)
@@ -464,7 +465,7 @@
 	if q.closed {
 		return
 	}
-	in, may, waiting := 0.0, 0.0, false
+	in, may, waiting := q.in, 0.0, false
 	for _, p := range q.parts {
 		if p.wants {
 			r.waiting++
@@ -476,9 +477,8 @@
 			waiting = true
 		}
 	}
-	floor, whole := q.class.Floor, in >= q.class.Need-rounding
-	late := r.now >= q.ends-finalMargin*r.set.Tick
-	enough := in >= floor-rounding && len(q.parts) > 0
+	floor, whole, late := q.class.Floor, in >= q.class.Need-rounding, r.now >= q.ends-finalMargin*r.set.Tick
+	enough := in >= floor-rounding && (len(q.parts) > 0 || in > 0)
 	switch {
 	case whole, enough && (late || !waiting):
 		r.do(Answer{ID: q.ID, Whole: whole})
--- a/router_test.go
+++ b/router_test.go
@@ -970,3 +970,22 @@
 		}
 	}
 }
+
+// A piece of a part that was answered counts, and with what is asked for the rest makes the answer whole.
+func TestAPieceOfAPartCounts(t *testing.T) {
+	b := newBed(t, settings())
+	b.turn(Placed{Shard: 100, Servers: []ServerID{1}}, Placed{Shard: 101, Servers: []ServerID{3}})
+	b.query(10, 0, 100)
+	b.sentTo(1)
+	rest := Arrival{ID: 12, Shard: 101, Left: 4 * time.Second, Query: b.next, Amount: 0.25}
+	b.after(50*ms, closed(11, 0, 1, Stale, 50*ms), Replaced{IDs: []RequestID{11}, Parts: []Arrival{rest}, In: 0.75})
+	expect[Answer](t, b.last, 0)
+	b.sentTo(3)
+	if a := expect[Answer](t, b.after(50*ms, closed(12, 0, 3, OK, 50*ms)), 1); !a[0].Whole {
+		t.Error("all was in and the answer is not whole")
+	}
+	b.query(20, 0, 100)
+	b.sentTo(1)
+	b.after(50*ms, closed(21, 0, 1, Stale, 50*ms), Replaced{IDs: []RequestID{21}, In: 0.75})
+	expect[Refuse](t, b.last, 1) // nobody can give the rest, and all is needed
+}
