--- a/cmd/linkpass/main.go
+++ b/cmd/linkpass/main.go
@@ -9,35 +9,29 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"linkpass/internal/daemon"
 )
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
-	news := listenForNews()
-	searchFile := flag.String("opensearch", defaultSearchFile, "`file` that says where the search front listens")
+	news := daemon.ListenForNews()
+	searchFile := flag.String("opensearch", daemon.DefaultSearchFile, "`file` that says where the search front listens")
 	flag.Parse()
-	cfg, err := load(os.Getenv)
+	cfg, err := daemon.Load(os.Getenv)
 	if err == nil {
-		cfg.search, err = loadSearch(*searchFile)
+		cfg.Search, err = daemon.LoadSearch(*searchFile)
 	}
 	if err != nil {
 		log.Fatalf("event=config_bad err=%q", err)
 	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	p, err := start(cfg)
+	p, err := daemon.Start(cfg)
 	if err == nil {
-		err = p.serve(term, news)
+		err = p.Serve(term, news)
 	}
 	if err != nil {
 		log.Fatalf("event=failed err=%q", err)
 	}
 }
-
-// listenForNews takes the signals that end nothing: SIGUSR1 asks for the counters,
-// SIGHUP tells of a new configuration. Without a taker SIGHUP would end the program.
-func listenForNews() <-chan os.Signal {
-	news := make(chan os.Signal, 8)
-	signal.Notify(news, syscall.SIGUSR1, syscall.SIGHUP)
-	return news
-}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"linkpass/internal/layout"
 )
 
 // The protocols that a league server may speak.
@@ -25,7 +27,17 @@
 // Index says where an index lies.
 type Index struct {
 	Class  string `json:"class" toml:"class"`
-	Slices []int  `json:"slices" toml:"slices"`
+	Slices []int  `json:"slices,omitempty" toml:"slices"`
+	// Layout takes the place of Slices where these can split, merge and move. Spread makes
+	// its first version.
+	Layout *layout.Document `json:"layout,omitempty" toml:"layout"`
+	Spread *Spread          `json:"spread,omitempty" toml:"spread"`
+}
+
+// Spread deals so many slices out to sets of servers, in turn.
+type Spread struct {
+	Slices int        `json:"slices" toml:"slices"`
+	Sets   [][]string `json:"sets" toml:"sets"`
 }
 
 // Server says how a league server is spoken to.
@@ -42,9 +54,14 @@
 
 // Catalog is the whole document. A published one is never changed.
 type Catalog struct {
+	// Revision counts the changes of a replicated document: one more each.
+	Revision uint64 `json:"revision,omitempty" toml:"-"`
+
 	Search  Defaults          `json:"search" toml:"search"`
 	Indices map[string]Index  `json:"indices,omitempty" toml:"indices"`
 	Servers map[string]Server `json:"servers,omitempty" toml:"servers"`
+
+	layouts map[string]*layout.Layout // of the indices that have one, as checked
 }
 
 // defaultWindow is OpenSearch's own limit on from + size.
@@ -81,9 +98,86 @@
 	return Plain
 }
 
+// Layout is an index's layout; nil: it has none, its slices are fixed.
+func (c *Catalog) Layout(index string) *layout.Layout { return c.layouts[index] }
+
+// WithLayout is the document with another layout of an index.
+func (c *Catalog) WithLayout(index string, l *layout.Layout) *Catalog {
+	out := *c
+	out.Indices, out.layouts = maps.Clone(c.Indices), maps.Clone(c.layouts)
+	d, i := l.Document(), out.Indices[index]
+	i.Layout = &d
+	out.Indices[index], out.layouts[index] = i, l
+	return &out
+}
+
+// News tells what changed in the layouts since an earlier document, by name; nil: since there was none.
+func (c *Catalog) News(earlier *Catalog) (out []layout.News) {
+	names := maps.Clone(c.layouts)
+	if earlier != nil {
+		for name, l := range earlier.layouts {
+			if names[name] == nil {
+				names[name] = l
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		var old *layout.Layout
+		if earlier != nil {
+			old = earlier.layouts[name]
+		}
+		if n, changed := layout.Differ(name, old, c.layouts[name]); changed {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// layOut reads the layouts. What did not change since an earlier document is shared with it.
+func (c *Catalog) layOut(earlier *Catalog) error {
+	c.layouts = map[string]*layout.Layout{}
+	for _, name := range slices.Sorted(maps.Keys(c.Indices)) {
+		index := c.Indices[name]
+		if index.Spread != nil && index.Layout == nil {
+			first, err := layout.Even(index.Spread.Slices, index.Spread.Sets)
+			if err != nil {
+				return fmt.Errorf("%w: indices.%s.spread: %w", ErrInvalid, name, err)
+			}
+			d := first.Document()
+			index.Layout = &d
+		}
+		index.Spread = nil
+		if index.Layout == nil {
+			continue
+		}
+		var before *layout.Layout
+		if earlier != nil {
+			before = earlier.layouts[name]
+		}
+		if before != nil && before.Version() == index.Layout.Version && c.Revision > 0 {
+			c.layouts[name] = before // a version says all: it is never made twice
+		} else {
+			l, err := index.Layout.Layout(before)
+			if err != nil {
+				return fmt.Errorf("%w: indices.%s.layout: %w", ErrInvalid, name, err)
+			}
+			c.layouts[name] = l
+		}
+		c.Indices[name] = index
+	}
+	return nil
+}
+
 // Check tells whether the document can be used. It looks at the document alone,
 // so that every instance comes to the same result.
 func (c *Catalog) Check() error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	return c.layOut(nil)
+}
+
+func (c *Catalog) check() error {
 	if c.Search.Timeout != "" {
 		if _, err := ParseTime(c.Search.Timeout); err != nil {
 			return fmt.Errorf("%w: search.default_search_timeout: %w", ErrInvalid, err)
@@ -97,8 +191,17 @@
 		if !validName(name) {
 			return fmt.Errorf("%w: index name %q", ErrInvalid, name)
 		}
-		if index.Class == "" || len(index.Slices) == 0 {
-			return fmt.Errorf("%w: index %q needs a class and slices", ErrInvalid, name)
+		ways := 0
+		for _, some := range []bool{len(index.Slices) > 0, index.Layout != nil, index.Spread != nil} {
+			if some {
+				ways++
+			}
+		}
+		if index.Class == "" || ways != 1 {
+			return fmt.Errorf("%w: index %q needs a class and one of slices, spread and layout", ErrInvalid, name)
+		}
+		if len(index.Slices) == 0 {
+			continue
 		}
 		sorted := slices.Sorted(slices.Values(index.Slices))
 		if sorted[0] < 0 || len(slices.Compact(sorted)) != len(index.Slices) {
@@ -171,7 +274,16 @@
 	if data, err = json.Marshal(tree); err != nil {
 		return nil, fmt.Errorf("catalog: %w", err)
 	}
-	return Parse(data)
+	next, err := ParseAfter(data, c)
+	if err != nil {
+		return nil, err
+	}
+	for name, l := range c.layouts {
+		if now := next.layouts[name]; now != nil && now.Version() != l.Version() {
+			return nil, fmt.Errorf("%w: the layout of index %q changes by POST /_cluster/reroute only", ErrInvalid, name)
+		}
+	}
+	return next, nil
 }
 
 func merge(tree, patch map[string]any) {
@@ -194,12 +306,18 @@
 }
 
 // Parse reads a document whole; what it does not know is refused.
-func Parse(data []byte) (*Catalog, error) {
+func Parse(data []byte) (*Catalog, error) { return ParseAfter(data, nil) }
+
+// ParseAfter reads a document that follows an earlier one, and shares with it what did not change.
+func ParseAfter(data []byte, earlier *Catalog) (*Catalog, error) {
 	c := &Catalog{}
 	if err := decode(data, c, true); err != nil {
 		return nil, err
 	}
-	return c, c.Check()
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return c, c.layOut(earlier)
 }
 
 func decode(data []byte, into any, strict bool) error {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -16,6 +16,8 @@
 	"linkpass/internal/counters"
 	"linkpass/internal/deadline"
 	"linkpass/internal/end"
+	"linkpass/internal/layout"
+	"linkpass/internal/layout/coverage"
 )
 
 // Part is one part of a query, as its client named it.
@@ -25,6 +27,16 @@
 	Hint   time.Duration // expected work; 0: unknown
 	Key    uint64        // 0: none
 	Text   []byte        // handed to the server unchanged
+	Ask    *Ask          // nil: the layout is fixed
+}
+
+// Ask is what a part asks for where the layout can move.
+type Ask struct {
+	Slice   layout.SliceID
+	Version uint64 // of the layout that it was planned on
+	Range   layout.Range
+	Piece   bool // less than the whole slice
+	round   int
 }
 
 // Query is what a front hands in.
@@ -37,6 +49,10 @@
 	Timeout    time.Duration // how long the client waits from then on
 	Repeat     bool
 	Parts      []Part
+	// Wanted are the keys that a query on a layout that can move asks for, in place
+	// of Parts: they are cut along the slices when it is taken.
+	Wanted []layout.Range
+	Text   []byte // of each such part
 	// Reply takes the final answer, exactly once. It is called from the core's
 	// own goroutine and must not block.
 	Reply func(Answer)
@@ -55,6 +71,7 @@
 // Value is what a server gave for a part.
 type Value struct {
 	Shard int
+	Ask   *Ask // nil: the layout is fixed
 	Data  []byte
 	Score float64
 	Hits  *Hits // nil where the server gave a plain value
@@ -79,6 +96,7 @@
 	Shard int
 	Last  end.End // how its latest attempt ended
 	Tried bool    // there was an attempt
+	Ask   *Ask    // what is missing; nil: the layout is fixed
 }
 
 // Answer is the final answer of a query.
@@ -88,7 +106,8 @@
 	Values     []Value // the parts that are in
 	Missing    []Miss  // the parts that are not
 	RetryAfter time.Duration
-	TimedOut   bool // the client's time was up
+	TimedOut   bool   // the client's time was up
+	Layout     uint64 // the version that the query was planned on; 0: the layout is fixed
 }
 
 // AttemptID names one attempt.
@@ -105,9 +124,14 @@
 	Shard      int
 	Text       []byte
 	Ends       time.Duration // nothing may be written from then on
+	Ask        *Ask
 	over       *atomic.Bool
+	gone       *atomic.Bool
 }
 
+// Gone tells whether the server has given the part's slice up; it may be asked anywhere.
+func (a Attempt) Gone() bool { return a.gone != nil && a.gone.Load() }
+
 // Dead tells whether the attempt has ended already; it may be asked anywhere.
 func (a Attempt) Dead() bool { return a.over != nil && a.over.Load() }
 
@@ -142,6 +166,8 @@
 	Value  []byte
 	Score  float64
 	Hits   *Hits
+	Layout uint64        // the version that the server is at; 0: it says none
+	Covers *layout.Range // the keys that the value is about; nil: it does not say
 	At     time.Duration // by Core.Now: when it was known
 }
 
@@ -183,14 +209,22 @@
 	probes   map[uint64]*probe
 	calls    []call
 	warm     func() // waits for the probes that are out; nil: nobody does
+	layouts  map[string]*ground
+	grounds  int
 }
 
 type query struct {
 	Query
-	id    linkpass.RequestID
-	ends  time.Duration
-	parts []*part
-	due   *deadline.Entry
+	id     linkpass.RequestID
+	ends   time.Duration
+	parts  []*part
+	due    *deadline.Entry
+	number uint64 // ties the module's parts to it
+
+	ground *ground          // nil: the layout is fixed
+	layout *layout.Layout   // the version that it was planned on
+	ledger *coverage.Ledger // what is in of what it wants
+	pieces []Value          // answers to pieces of parts that gave way
 }
 
 type part struct {
@@ -198,7 +232,9 @@
 	id       linkpass.RequestID
 	query    *query
 	attempts int
+	out      int // attempts whose end is to come
 	in       bool
+	gave     bool // way to others
 	value    Value
 	last     end.End
 }
@@ -210,6 +246,7 @@
 	sent   time.Duration
 	due    *deadline.Entry
 	over   atomic.Bool // told to the links, which may still hold it back from the wire
+	gone   atomic.Bool // the same: its slice has left the server
 }
 
 type probe struct {
@@ -245,7 +282,7 @@
 		mailbox: make(chan func(), max(64, c.Mailbox)), done: make(chan struct{}), noted: make(chan struct{}, 1),
 		epoch:   time.Now().Add(-originAge),
 		queries: map[linkpass.RequestID]*query{}, parts: map[linkpass.RequestID]*part{},
-		attempts: map[AttemptID]*attempt{}, probes: map[uint64]*probe{},
+		attempts: map[AttemptID]*attempt{}, probes: map[uint64]*probe{}, layouts: map[string]*ground{},
 	}, nil
 }
 
@@ -311,7 +348,7 @@
 	var open *query
 	c.figures.InFlight.Add(1)
 	if !c.post(func() { open = c.take(q) }) {
-		c.settle(q, Answer{Verdict: Failed, Missing: missAll(q.Parts)})
+		c.settle(q, Answer{Verdict: Failed, Missing: missAll(q)})
 		return func() {}
 	}
 	return func() { c.post(func() { c.left(open) }) }
@@ -449,17 +486,14 @@
 	c.lastID++
 	c.numbers++
 	open := &query{Query: q, id: c.lastID, ends: q.Began + q.Timeout}
+	parts := c.plan(open)
 	c.queries[open.id] = open
 	left := max(0, open.ends-now)
 	c.events = append(c.events, linkpass.Arrival{ID: open.id, Shard: -1, Left: left, Class: q.Class,
-		Repeat: q.Repeat, Amount: float64(len(q.Parts)), Query: c.numbers})
-	for _, p := range q.Parts {
-		c.lastID++
-		mine := &part{Part: p, id: c.lastID, query: open}
-		open.parts = append(open.parts, mine)
-		c.parts[mine.id] = mine
-		c.events = append(c.events, linkpass.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class,
-			Repeat: q.Repeat, Cost: p.Hint, Key: p.Key, Amount: p.Weight, Query: c.numbers})
+		Repeat: q.Repeat, Amount: float64(len(parts)), Query: c.numbers})
+	open.number = c.numbers
+	for _, p := range parts {
+		c.events = append(c.events, c.join(open, p, left))
 	}
 	// Guards against a query that the module never ends: it fails when its time is over.
 	open.due = c.dues.Arm(open.ends+c.set.AnswerSlack, func() {
@@ -471,6 +505,16 @@
 	return open
 }
 
+// join makes a part of an open query, and what the module is told of it.
+func (c *Core) join(q *query, p Part, left time.Duration) linkpass.Arrival {
+	c.lastID++
+	mine := &part{Part: p, id: c.lastID, query: q}
+	q.parts = append(q.parts, mine)
+	c.parts[mine.id] = mine
+	return linkpass.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class, Repeat: q.Repeat,
+		Cost: p.Hint, Key: p.Key, Amount: p.Weight, Query: q.number}
+}
+
 // left ends a query whose client has gone.
 func (c *Core) left(q *query) {
 	if q == nil || c.queries[q.id] == nil {
@@ -496,9 +540,12 @@
 		case p.in && a.Verdict == Answered:
 			a.Values = append(a.Values, p.value)
 		case !p.in:
-			a.Missing = append(a.Missing, Miss{Shard: p.Shard, Last: p.last, Tried: p.attempts > 0})
+			a.Missing = append(a.Missing, Miss{Shard: p.Shard, Last: p.last, Tried: p.attempts > 0, Ask: p.Ask})
 		}
 	}
+	if q.ground != nil {
+		c.settleLayout(q, &a)
+	}
 	if a.Verdict == Refused {
 		c.count.Add(c.refusal(q), 1)
 	}
@@ -538,10 +585,13 @@
 	return "refused_unsent"
 }
 
-func missAll(parts []Part) (out []Miss) {
-	for _, p := range parts {
+func missAll(q Query) (out []Miss) {
+	for _, p := range q.Parts {
 		out = append(out, Miss{Shard: p.Shard})
 	}
+	for _, r := range q.Wanted {
+		out = append(out, Miss{Ask: &Ask{Range: r}})
+	}
 	return out
 }
 
@@ -599,6 +649,7 @@
 	}
 	at := &attempt{id: AttemptID{a.ID, p.attempts}, part: p, server: a.Server, sent: now}
 	p.attempts++
+	p.out++
 	c.attempts[at.id] = at
 	c.count.Add("attempts_sent", 1)
 	wait := p.query.ends - now
@@ -610,7 +661,7 @@
 		c.ended(at.id, Result{End: end.Silent, At: c.Now()})
 	})
 	out := Attempt{ID: at.id, Query: p.query.Name, Collection: p.query.Collection, Shard: p.Shard, Text: p.Text,
-		Ends: p.query.ends, over: &at.over}
+		Ends: p.query.ends, Ask: p.Ask, over: &at.over, gone: &at.gone}
 	for i := range c.calls {
 		if c.calls[i].server == a.Server && len(c.calls[i].attempts) < c.set.CallParts {
 			c.calls[i].attempts = append(c.calls[i].attempts, out)
@@ -630,16 +681,22 @@
 	delete(c.attempts, id)
 	at.over.Store(true)
 	c.dues.Disarm(at.due)
-	c.count.Add("attempts_"+r.End.String(), 1)
 	p := at.part
+	p.out--
+	var after []linkpass.Event // what the end means for the query's other parts
+	if p.Ask != nil && !p.in && !p.gave {
+		r.End, after = c.settlePart(p, r)
+	}
+	c.count.Add("attempts_"+r.End.String(), 1)
 	if !p.in {
 		p.last = r.End
 	}
-	if r.End == end.Served && !p.in {
-		p.in, p.value = true, Value{Shard: p.Shard, Data: r.Value, Score: r.Score, Hits: r.Hits}
+	if r.End == end.Served && !p.in && !p.gave {
+		p.in, p.value = true, Value{Shard: p.Shard, Ask: p.Ask, Data: r.Value, Score: r.Score, Hits: r.Hits}
 	}
 	c.events = append(c.events, linkpass.Outcome{ID: id.Part, Attempt: id.No, Server: at.server,
 		Code: r.End.Code(), Took: max(0, r.At-at.sent), Final: p.in, Report: r.Report})
+	c.events = append(c.events, after...)
 }
 
 // probe sends a probe; it is lost when nothing has come within the time for it.
--- /dev/null
+++ b/internal/coordinator/moving.go
@@ -0,0 +1,268 @@
+package coordinator
+
+import (
+	"slices"
+
+	"linkpass"
+	"linkpass/internal/end"
+	"linkpass/internal/layout"
+	"linkpass/internal/layout/coverage"
+	"linkpass/internal/layout/replan"
+)
+
+// ground is one collection's layout, as the module knows it: its slices are shards
+// there, numbered apart from those of the fixed layout and of every other ground.
+type ground struct {
+	name   string
+	number int
+	now    *layout.Layout // nil: the collection has gone
+	open   int            // queries planned on it
+	leaves []linkpass.Placed
+}
+
+// shard is the module's number of a slice. A ground is a new one when its collection
+// comes back after it had gone, so that numbers are never used twice.
+func (g *ground) shard(id layout.SliceID) int { return g.number<<32 + int(id) }
+
+// Reshape takes news of layouts, which the caller has found out off the core's goroutine.
+// server is the module's number of a holder.
+func (c *Core) Reshape(list []layout.News, server func(string) linkpass.ServerID) {
+	c.post(func() {
+		for _, n := range list {
+			c.reshape(n, server)
+		}
+	})
+}
+
+func (c *Core) reshape(n layout.News, server func(string) linkpass.ServerID) {
+	g := c.layouts[n.Collection]
+	if g == nil {
+		if n.Layout == nil {
+			return
+		}
+		c.grounds++
+		g = &ground{name: n.Collection, number: c.grounds}
+		c.layouts[n.Collection] = g
+	}
+	c.count.Add("layout_changes", 1)
+	g.now = n.Layout
+	for _, s := range n.Came {
+		ids := make([]linkpass.ServerID, len(s.Holders))
+		for i, name := range s.Holders {
+			ids[i] = server(name)
+		}
+		c.events = append(c.events, linkpass.Placed{Shard: g.shard(s.ID), Servers: ids})
+	}
+	var leaves []linkpass.Placed
+	for _, s := range n.Went {
+		leaves = append(leaves, linkpass.Placed{Shard: g.shard(s.ID)})
+	}
+	if n.Layout == nil { // open queries end on the version that they were planned on
+		delete(c.layouts, n.Collection)
+		if g.leaves = leaves; g.open == 0 {
+			c.clear(g)
+		}
+		return
+	}
+	went := map[layout.SliceID]bool{}
+	for _, s := range n.Went {
+		went[s.ID] = true
+	}
+	for _, at := range c.attempts {
+		if at.part.query.ground == g && went[at.part.Ask.Slice] {
+			at.gone.Store(true) // if it is not yet written, it never will be
+		}
+	}
+	for _, id := range c.affected(g, went) {
+		if p := c.parts[id]; p != nil && !p.gave { // it may have joined another meanwhile
+			if replaced, why := c.replan(p, nil); why == replan.Done {
+				c.events = append(c.events, replaced)
+			}
+		}
+	}
+	for _, l := range leaves {
+		c.events = append(c.events, l)
+	}
+}
+
+// affected lists the parts, by age, that have nothing out and whose slice is held no more.
+func (c *Core) affected(g *ground, went map[layout.SliceID]bool) (ids []linkpass.RequestID) {
+	for id, p := range c.parts {
+		if p.query.ground == g && !p.in && !p.gave && p.out == 0 && went[p.Ask.Slice] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// clear tells the module that a ground has gone.
+func (c *Core) clear(g *ground) {
+	for _, l := range g.leaves {
+		c.events = append(c.events, l)
+	}
+	g.leaves = nil
+}
+
+// plan cuts what a query wants along the slices of the layout as it stands. A query on a
+// fixed layout has its parts already. One on a layout that has gone has none, and is refused.
+func (c *Core) plan(q *query) []Part {
+	if len(q.Wanted) == 0 {
+		return q.Parts
+	}
+	g := c.layouts[q.Collection]
+	if g == nil {
+		return nil
+	}
+	g.open++
+	wanted := coverage.Of(q.Wanted...).Ranges()
+	q.ground, q.layout, q.ledger = g, g.now, coverage.NewLedger(wanted...)
+	return c.parted(q, g.now, replan.Plan(g.now, wanted))
+}
+
+// parted words planned parts; their weights follow their ranges.
+func (c *Core) parted(q *query, l *layout.Layout, list []replan.Part) []Part {
+	out := make([]Part, len(list))
+	asks := make([]Ask, len(list)) // one allocation
+	for i, p := range list {
+		s, _ := l.Slice(p.Slice)
+		asks[i] = Ask{Slice: p.Slice, Version: l.Version(), Range: p.Range, Piece: s.Range != p.Range, round: p.Round}
+		out[i] = Part{Shard: q.ground.shard(p.Slice), Weight: q.ledger.Weight(p.Range), Text: q.Text, Ask: &asks[i]}
+	}
+	return out
+}
+
+// settlePart looks at the end of an attempt of a part on a layout that can move: what an
+// answer covers, and whether the part is to be planned anew. It returns the end as it is
+// booked, and what the module is told after it.
+func (c *Core) settlePart(p *part, r Result) (end.End, []linkpass.Event) {
+	switch r.End {
+	case end.Served:
+		return c.cover(p, r)
+	case end.Moved:
+		replaced, why := c.replan(p, nil)
+		if why == replan.Done {
+			return r.End, []linkpass.Event{replaced}
+		}
+		c.count.Add("replans_refused_"+string(why), 1)
+		return end.Ahead, nil
+	}
+	if p.out > 0 || p.query.ground.now == nil {
+		return r.End, nil
+	}
+	if _, held := p.query.ground.now.Held(p.Ask.Slice); !held { // another try there would come to nothing
+		if replaced, why := c.replan(p, nil); why == replan.Done {
+			return r.End, []linkpass.Event{replaced}
+		}
+	}
+	return r.End, nil
+}
+
+// cover books what an answer covers. A piece of what was asked for is kept, and the rest
+// is asked for anew.
+func (c *Core) cover(p *part, r Result) (end.End, []linkpass.Event) {
+	covers := p.Ask.Range
+	switch {
+	case r.Covers != nil:
+		covers = *r.Covers
+	case p.Ask.Piece:
+		return end.Unversioned, nil
+	}
+	if !p.Ask.Range.Holds(covers) || !p.query.ledger.Book(covers) {
+		return end.Doubled, nil
+	}
+	if covers == p.Ask.Range {
+		return end.Served, nil
+	}
+	ask := *p.Ask
+	ask.Range, ask.Piece = covers, true
+	p.query.pieces = append(p.query.pieces, Value{Shard: p.Shard, Ask: &ask, Data: r.Value, Score: r.Score, Hits: r.Hits})
+	replaced, why := c.replan(p, coverage.Of(p.Ask.Range).Less(coverage.Of(covers)).Ranges())
+	if why != replan.Done { // the rest is lost; the module hears that no part asks for it
+		c.count.Add("replans_refused_"+string(why), 1)
+		p.gave = true
+		p.query.parts = slices.DeleteFunc(p.query.parts, func(o *part) bool { return o == p })
+		delete(c.parts, p.id)
+		replaced = linkpass.Replaced{IDs: []linkpass.RequestID{p.id}}
+	}
+	replaced.In = p.query.ledger.Weight(covers)
+	return end.Pieced, []linkpass.Event{replaced}
+}
+
+// replan puts others in the place of a part whose slice has gone, or for what is left of one.
+func (c *Core) replan(p *part, rest []layout.Range) (out linkpass.Replaced, why replan.Refusal) {
+	q := p.query
+	if c.queries[q.id] == nil {
+		return out, replan.Answered
+	}
+	left := q.ends - c.Now()
+	standing := make([]replan.Part, len(q.parts))
+	at := 0
+	for i, o := range q.parts {
+		standing[i] = replan.Part{Slice: o.Ask.Slice, Range: o.Ask.Range, Round: o.Ask.round}
+		switch {
+		case o == p:
+			at = i
+		case o.in:
+			standing[i].Standing = replan.In
+		case o.out > 0:
+			standing[i].Standing = replan.Out
+		}
+	}
+	var change replan.Change
+	if rest == nil {
+		change, why = replan.Replan(q.ground.now, standing, at, left, replanTicks*c.set.Tick)
+	} else {
+		change, why = replan.Rest(q.ground.now, standing, at, rest, left, replanTicks*c.set.Tick)
+	}
+	if why != replan.Done {
+		return out, why
+	}
+	c.count.Add("replans", 1)
+	var drop []*part
+	for _, i := range change.Drop {
+		drop = append(drop, q.parts[i])
+	}
+	for _, o := range drop {
+		o.gave = true
+		delete(c.parts, o.id)
+		out.IDs = append(out.IDs, o.id)
+	}
+	q.parts = slices.DeleteFunc(q.parts, func(o *part) bool { return o.gave })
+	for _, part := range c.parted(q, q.ground.now, change.Add) {
+		out.Parts = append(out.Parts, c.join(q, part, max(0, left)))
+	}
+	return out, replan.Done
+}
+
+const replanTicks = 2 // an attempt that had less time than so many turns would come to nothing
+
+// settleLayout looks once more at an answer on a layout that can move: it is whole only if
+// every wanted key is in exactly once.
+func (c *Core) settleLayout(q *query, a *Answer) {
+	a.Layout = q.layout.Version()
+	if a.Verdict == Answered {
+		a.Values = append(a.Values, q.pieces...)
+		if a.Whole && !q.ledger.Whole() {
+			c.count.Add("answers_not_whole", 1)
+			a.Whole = false
+		}
+	}
+	a.Missing = c.lost(q, a.Missing)
+	q.ground.open--
+	if q.ground.now == nil && q.ground.open == 0 {
+		c.clear(q.ground)
+	}
+}
+
+// lost adds the wanted keys that no part asks for any more to what is missing.
+func (c *Core) lost(q *query, missing []Miss) []Miss {
+	told := coverage.Set{}
+	for _, m := range missing {
+		told.Add(m.Ask.Range)
+	}
+	for _, r := range coverage.Of(q.ledger.Missing()...).Less(told).Ranges() {
+		missing = append(missing, Miss{Last: end.Moved, Tried: true, Ask: &Ask{Range: r, Version: q.layout.Version(), Piece: true}})
+	}
+	return missing
+}
--- a/cmd/linkpass/config.go
+++ b/internal/daemon/config.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"encoding/json"
@@ -17,8 +17,8 @@
 	"linkpass/internal/store"
 )
 
-// config is what the program is told at its start.
-type config struct {
+// Config is what the program is told at its start.
+type Config struct {
 	name, listen, discovery string
 	operator                string // "": no door
 	listenFD                int    // 0: the process opens its own socket
@@ -28,26 +28,26 @@
 	known                   discovery.Document
 	module                  linkpass.Settings
 	host                    settings.Host
-	search                  searchConfig
+	Search                  Search
 
 	fileDiscovery string // what the file names, whatever goes before it
 }
 
-// searchConfig is the file of the search front.
-type searchConfig struct {
+// Search is the file of the search front.
+type Search struct {
 	Listen string `toml:"listen"`
 	catalog.Catalog
 	Store store.Config `toml:"store"`
 }
 
-const defaultSearchFile = "deploy/opensearch.toml"
+const DefaultSearchFile = "deploy/opensearch.toml"
 
-// loadSearch reads the search front's file. Without the default one it is off.
-func loadSearch(path string) (searchConfig, error) {
-	var c searchConfig
+// LoadSearch reads the search front's file. Without the default one it is off.
+func LoadSearch(path string) (Search, error) {
+	var c Search
 	meta, err := toml.DecodeFile(path, &c)
-	if errors.Is(err, fs.ErrNotExist) && path == defaultSearchFile {
-		return searchConfig{}, nil
+	if errors.Is(err, fs.ErrNotExist) && path == DefaultSearchFile {
+		return Search{}, nil
 	}
 	if err != nil {
 		return c, fmt.Errorf("search front %s: %w", path, err)
@@ -80,19 +80,19 @@
 	Settings json.RawMessage    `json:"settings"`
 }
 
-// load reads the configuration that the environment names.
-func load(env func(string) string) (config, error) {
+// Load reads the configuration that the environment names.
+func Load(env func(string) string) (Config, error) {
 	path := env("ROUTER_CONFIG")
 	if path == "" {
-		return config{}, errors.New("ROUTER_CONFIG names no file")
+		return Config{}, errors.New("ROUTER_CONFIG names no file")
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return config{}, fmt.Errorf("configuration: %w", err)
+		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
 	var d document
 	if err := json.Unmarshal(data, &d); err != nil {
-		return config{}, fmt.Errorf("configuration %s: %w", path, err)
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	either := func(name, otherwise string) string {
 		if v := env(name); v != "" {
@@ -100,28 +100,28 @@
 		}
 		return otherwise
 	}
-	c := config{name: either("ROUTER_NAME", d.Name), listen: either("ROUTER_LISTEN", d.Listen),
+	c := Config{name: either("ROUTER_NAME", d.Name), listen: either("ROUTER_LISTEN", d.Listen),
 		discovery: either("ROUTER_DISCOVERY", d.Discovery), operator: either("ROUTER_OPERATOR", d.Operator), known: d.Known,
 		fileDiscovery: d.Discovery, memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
 	if c.listen == "" || c.discovery == "" {
-		return config{}, fmt.Errorf("configuration %s: listen or discovery is missing", path)
+		return Config{}, fmt.Errorf("configuration %s: listen or discovery is missing", path)
 	}
 	if fd := env("ROUTER_LISTEN_FD"); fd != "" {
 		if c.listenFD, err = strconv.Atoi(fd); err != nil || c.listenFD <= 2 {
-			return config{}, fmt.Errorf("ROUTER_LISTEN_FD %q is no descriptor to listen on", fd)
+			return Config{}, fmt.Errorf("ROUTER_LISTEN_FD %q is no descriptor to listen on", fd)
 		}
 	}
 	if c.seed, err = strconv.ParseUint(d.Seed, 16, 64); err != nil {
-		return config{}, fmt.Errorf("configuration %s: seed: %w", path, err)
+		return Config{}, fmt.Errorf("configuration %s: seed: %w", path, err)
 	}
 	if len(d.Settings) == 0 {
-		return config{}, fmt.Errorf("configuration %s: settings are missing", path)
+		return Config{}, fmt.Errorf("configuration %s: settings are missing", path)
 	}
 	if c.module, c.host, err = settings.ParseJSON(d.Settings); err != nil {
-		return config{}, fmt.Errorf("configuration %s: %w", path, err)
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if c.host.MaxStreams <= 0 || c.host.ConnectTimeout <= 0 || c.module.Tick <= 0 {
-		return config{}, fmt.Errorf("configuration %s: max_streams, connect_timeout and tick must be above 0", path)
+		return Config{}, fmt.Errorf("configuration %s: max_streams, connect_timeout and tick must be above 0", path)
 	}
 	return c, nil
 }
--- a/cmd/linkpass/run.go
+++ b/internal/daemon/run.go
@@ -1,4 +1,6 @@
-package main
+// Package daemon puts the program together: the core, what it stands on, its fronts, and
+// the way from its start to its end.
+package daemon
 
 import (
 	"context"
@@ -6,6 +8,7 @@
 	"log"
 	"net"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -42,9 +45,9 @@
 	mailboxSize    = 1024
 )
 
-// program is what runs: the core, what it stands on, and its fronts.
-type program struct {
-	cfg     config
+// Program is what runs: the core, what it stands on, and its fronts.
+type Program struct {
+	cfg     Config
 	count   *counters.Set
 	figures *counters.Figures
 	core    *coordinator.Core
@@ -70,8 +73,8 @@
 // reload takes a new configuration while the program runs: the address of
 // discovery and the limit on memory. All else holds from the next start on. One
 // that can't be used changes nothing: a coordinator must not end over it.
-func (p *program) reload(env func(string) string) {
-	cfg, err := load(env)
+func (p *Program) reload(env func(string) string) {
+	cfg, err := Load(env)
 	if err != nil {
 		p.count.Add("config_bad", 1)
 		log.Printf("event=config_kept err=%q", err)
@@ -91,14 +94,14 @@
 }
 
 // limitMemory sets the collector's limit to this process's share.
-func (p *program) limitMemory() {
+func (p *Program) limitMemory() {
 	if p.cfg.memoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.cfg.memoryMB) * (1 << 20) / float64(p.share.Processes)))
 	}
 }
 
 // keepTo keeps this process to its share of the limits.
-func (p *program) keepTo(s handover.Share) {
+func (p *Program) keepTo(s handover.Share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.share.Processes != s.Processes {
@@ -124,18 +127,18 @@
 }
 
 // young tells whether another process of this coordinator ran already when this one started.
-func (p *program) young() bool { return p.share.Processes > 1 }
+func (p *Program) young() bool { return p.share.Processes > 1 }
 
 // planned is the number of fronts.
-func (p *program) planned() int {
-	if p.cfg.search.Listen != "" {
+func (p *Program) planned() int {
+	if p.cfg.Search.Listen != "" {
 		return 2
 	}
 	return 1
 }
 
-// serve serves until the context ends, then finishes what was taken.
-func (p *program) serve(term context.Context, news <-chan os.Signal) (err error) {
+// Serve serves until the context ends, then finishes what was taken.
+func (p *Program) Serve(term context.Context, news <-chan os.Signal) (err error) {
 	cfg := p.cfg
 	ctx, cancel := context.WithCancel(context.Background())
 	var all, accepting sync.WaitGroup
@@ -238,17 +241,17 @@
 	}
 }
 
-// start sets everything up and takes the addresses to listen on.
-func start(cfg config) (p *program, err error) {
+// Start sets everything up and takes the addresses to listen on.
+func Start(cfg Config) (p *Program, err error) {
 	if cfg.cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.cores)))
 	}
 	if cfg.sockets <= 0 {
 		cfg.sockets = defaultSockets
 	}
-	p = &program{cfg: cfg, count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
+	p = &Program{cfg: cfg, count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
 		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1)}
-	p.follow(func() *catalog.Catalog { return &cfg.search.Catalog })
+	p.follow(func() *catalog.Catalog { return &cfg.Search.Catalog })
 	if p.post, err = handover.Join(os.TempDir(), cfg.name, cfg.module.MaxOpen, p.keepTo); err != nil {
 		log.Printf("event=handover_failed err=%q", err) // one that runs alone does without
 		p.keepTo(handover.Share{Processes: 1, Open: cfg.module.MaxOpen})
@@ -313,7 +316,7 @@
 // clientListener is where clients come in: the platform's socket, if it holds one that
 // outlives this process, or a socket of our own. The platform's is only ever closed
 // here, never shut: others accept on it too.
-func clientListener(cfg config) (net.Listener, error) {
+func clientListener(cfg Config) (net.Listener, error) {
 	if cfg.listenFD == 0 {
 		ln, err := net.Listen("tcp", cfg.listen)
 		if err != nil {
@@ -331,25 +334,25 @@
 }
 
 // add sets up one front on a listener.
-func (p *program) add(name string, ln net.Listener, h http1.Handler) {
+func (p *Program) add(name string, ln net.Listener, h http1.Handler) {
 	server := &http1.Server{Name: name, Handler: h, Clock: p.core, Counters: p.count, MaxConns: p.clients}
 	p.lns, p.fronts = append(p.lns, ln), append(p.fronts, server)
 	p.gate.Follow(server)
 }
 
 // follow names the search settings that hold.
-func (p *program) follow(current func() *catalog.Catalog) { p.current.Store(&current) }
+func (p *Program) follow(current func() *catalog.Catalog) { p.current.Store(&current) }
 
 // search sets up the search front, and the store where there is one. The other process
 // must have gone: it has the address and the store's files.
-func (p *program) search() (err error) {
-	if p.cfg.search.Listen == "" || len(p.fronts) == p.planned() {
+func (p *Program) search() (err error) {
+	if p.cfg.Search.Listen == "" || len(p.fronts) == p.planned() {
 		return nil
 	}
-	initial := &p.cfg.search.Catalog
+	initial := &p.cfg.Search.Catalog
 	answers := opensearch.FixedSettings(initial)
-	if p.cfg.search.Store.ID != "" {
-		c := p.cfg.search.Store
+	if p.cfg.Search.Store.ID != "" {
+		c := p.cfg.Search.Store
 		c.Initial = initial
 		if p.store, err = store.Open(c); err != nil {
 			return err
@@ -362,7 +365,7 @@
 	for i, name := range p.cfg.host.Classes {
 		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline})
 	}
-	ln, err := net.Listen("tcp", p.cfg.search.Listen)
+	ln, err := net.Listen("tcp", p.cfg.Search.Listen)
 	if err != nil {
 		if p.store != nil {
 			_ = p.store.Close()
@@ -374,7 +377,7 @@
 }
 
 // protocols tells how league servers are spoken to.
-func (p *program) protocols() link.Protocols {
+func (p *Program) protocols() link.Protocols {
 	common := peer.Config{Sink: p.core, Counters: p.count, Figures: p.figures, Places: p.dials,
 		ConnectTimeout: p.cfg.host.ConnectTimeout, Keepalive: p.cfg.host.Keepalive}
 	maker := func(d peer.Dialect) link.Make {
@@ -391,7 +394,7 @@
 
 // stop takes in what still comes, then finishes what was taken. Where the platform holds
 // the socket another process accepts on it, and this one stops at once.
-func (p *program) stop(accepting *sync.WaitGroup) {
+func (p *Program) stop(accepting *sync.WaitGroup) {
 	p.gate.End()
 	wait := grace
 	if p.cfg.listenFD != 0 {
@@ -412,10 +415,18 @@
 
 // patience is how long after SIGTERM the process may take: the platform kills once the
 // longest deadline, or 3 s where that is longer, and 0.7 s have passed.
-func (p *program) patience() time.Duration {
+func (p *Program) patience() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range p.cfg.module.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	return min(longest, killAfter) + killMargin
 }
+
+// ListenForNews takes the signals that end nothing: SIGUSR1 asks for the counters,
+// SIGHUP tells of a new configuration. Without a taker SIGHUP would end the program.
+func ListenForNews() <-chan os.Signal {
+	news := make(chan os.Signal, 8)
+	signal.Notify(news, syscall.SIGUSR1, syscall.SIGHUP)
+	return news
+}
--- a/cmd/linkpass/run_test.go
+++ b/internal/daemon/run_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 // bench is a whole coordinator between stand-ins.
 type bench struct {
 	*fleet
-	p        *program
+	p        *Program
 	news     chan os.Signal
 	platform *client
 	search   *client
@@ -42,10 +42,10 @@
 	asked    int
 }
 
-func newBench(t *testing.T, cells int, changes ...func(*config)) *bench {
+func newBench(t *testing.T, cells int, changes ...func(*Config)) *bench {
 	t.Setenv("TMPDIR", t.TempDir())
 	b := &bench{fleet: newFleet(t), news: make(chan os.Signal)}
-	cfg := config{name: "n0", listen: "127.0.0.1:0", operator: "127.0.0.1:0", discovery: b.addr, seed: 5, memoryMB: 192, sockets: 1024}
+	cfg := Config{name: "n0", listen: "127.0.0.1:0", operator: "127.0.0.1:0", discovery: b.addr, seed: 5, memoryMB: 192, sockets: 1024}
 	var err error
 	if cfg.module, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
 		t.Fatal(err)
@@ -61,19 +61,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.search = searchConfig{Listen: "127.0.0.1:0", Catalog: catalog.Catalog{Indices: map[string]catalog.Index{
+	cfg.Search = Search{Listen: "127.0.0.1:0", Catalog: catalog.Catalog{Indices: map[string]catalog.Index{
 		"players": {Class: "whole", Slices: []int{0, 1, 2}}, "tables": {Class: "share", Slices: []int{0, 1}}, "lost": {Class: "whole", Slices: []int{0, 77}}}},
 		Store: store.Config{ID: "a", Dir: t.TempDir(), Pace: 0.2, Listener: raft,
 			Members: []store.Member{{ID: "a", Raft: raft.Addr().String(), HTTP: "here"}}}}
 	for _, change := range changes {
 		change(&cfg)
 	}
-	if b.p, err = start(cfg); err != nil {
+	if b.p, err = Start(cfg); err != nil {
 		t.Fatal(err)
 	}
 	term, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- b.p.serve(term, b.news) }()
+	go func() { done <- b.p.Serve(term, b.news) }()
 	b.stop = sync.OnceFunc(func() {
 		stop()
 		if err := <-done; err != nil {
@@ -378,7 +378,7 @@
 // SIGHUP ends nothing: it brings a new configuration, whose address of discovery is
 // followed at once; one that can't be read leaves all as it was.
 func TestNewConfiguration(t *testing.T) {
-	news := listenForNews()
+	news := ListenForNews()
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
@@ -446,27 +446,27 @@
 			return map[string]string{"ROUTER_CONFIG": path, "ROUTER_LISTEN": "127.0.0.1:3"}[name]
 		}
 	}
-	c, err := load(env(write("good", good)))
+	c, err := Load(env(write("good", good)))
 	if err != nil || c.listen != "127.0.0.1:3" || c.seed != 0x8c1f || c.host.MaxStreams != 32 {
 		t.Fatalf("%+v %v", c, err)
 	}
 	for _, path := range []string{"", filepath.Join(dir, "none"), write("cut", good[:len(good)/2]),
 		write("seed", strings.Replace(good, "8c1f", "xyz", 1)), write("discovery", strings.Replace(good, `"discovery"`, `"d"`, 1)),
 		write("settings", strings.Replace(good, `"slabs":6`, `"slabs":"x"`, 1)), write("streams", strings.Replace(good, `"max_streams":32`, `"max_streams":0`, 1))} {
-		if _, err := load(env(path)); err == nil || strings.Contains(err.Error(), "\n") {
+		if _, err := Load(env(path)); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", path, err)
 		}
 	}
 	for text, ok := range map[string]bool{"listen = ''": true, "listen = ": false, "listen = 5": false, "unheard = 1": false,
 		"[store]\nid = 'a'": false, "[indices.players]\nclass = 'c'": false, "[servers.s-1]\nprotocol = 'telnet'": false} {
-		if _, err := loadSearch(write("search.toml", text)); (err == nil) != ok {
+		if _, err := LoadSearch(write("search.toml", text)); (err == nil) != ok {
 			t.Errorf("%q: %v", text, err)
 		}
 	}
-	if _, err := loadSearch(filepath.Join(dir, "none")); !errors.Is(err, os.ErrNotExist) {
+	if _, err := LoadSearch(filepath.Join(dir, "none")); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("a file that is named and missing: %v", err)
 	}
-	if c, err := loadSearch("../../" + defaultSearchFile); err != nil || c.Listen != "" {
+	if c, err := LoadSearch("../../" + DefaultSearchFile); err != nil || c.Listen != "" {
 		t.Errorf("the file in the repository: %+v %v", c, err)
 	}
 }
@@ -504,7 +504,7 @@
 		return n
 	}
 	dir := t.TempDir()
-	here := func(c *config) { t.Setenv("TMPDIR", dir); c.listenFD = fd() }
+	here := func(c *Config) { t.Setenv("TMPDIR", dir); c.listenFD = fd() }
 	old := newBench(t, 3, here)
 	kept := connect(t, held.Addr().String())
 	if status, _ := old.query(kept, "whole", 15*time.Second, 0); status != 200 {
@@ -524,12 +524,12 @@
 	if n := young.p.count.Get("probes_served"); n < 6 {
 		t.Errorf("says yes having heard of %d servers", n)
 	}
-	limits := func(p *program) (processes, clients, room int) {
+	limits := func(p *Program) (processes, clients, room int) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.share.Processes, p.clients, p.share.Open
 	}
-	for _, p := range []*program{old.p, young.p} { // each keeps to its half
+	for _, p := range []*Program{old.p, young.p} { // each keeps to its half
 		n, clients, room := limits(p)
 		if most, _ := shareSockets(p.cfg.sockets/2, 2); n != 2 || clients != most || room != p.cfg.module.MaxOpen/2 {
 			t.Errorf("%d processes, %d clients, room for %d", n, clients, room)
--- a/cmd/linkpass/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"bufio"
--- a/internal/end/end.go
+++ b/internal/end/end.go
@@ -34,6 +34,11 @@
 	CalledOff              // the module gave the attempt up
 	Withheld               // never written: the query was over or the server unfit
 	Crowded                // never written: the way to the server was full
+	Moved                  // the slice is not there any more; nothing has run
+	Ahead                  // the same, by a layout that nobody else knows of
+	Unversioned            // the server does not tell which keys its answer covers
+	Doubled                // the answer covers keys that are in already, or that nobody asked for
+	Pieced                 // the server answered a piece of what was asked for
 )
 
 var names = [...]string{
@@ -41,7 +46,8 @@
 	DialRefused: "dial_refused", DialTimeout: "dial_timeout", DialFailed: "dial_failed",
 	CutInWrite: "cut_in_write", Broken: "broken", Closed: "closed", Garbled: "garbled",
 	Rejected: "rejected", Silent: "silent", CalledOff: "called_off",
-	Withheld: "withheld", Crowded: "crowded",
+	Withheld: "withheld", Crowded: "crowded", Moved: "moved", Ahead: "ahead",
+	Unversioned: "unversioned", Doubled: "doubled", Pieced: "pieced",
 }
 
 // Count is the number of ways to end.
@@ -61,10 +67,12 @@
 	switch e {
 	case Served:
 		return linkpass.OK
-	case ServerError:
+	case ServerError, Unversioned, Doubled:
 		return linkpass.Errored
-	case TurnedAway:
-		return linkpass.Full
+	case TurnedAway, Ahead:
+		return linkpass.Full // one that names a version of its own is left alone for a while
+	case Moved, Pieced:
+		return linkpass.Stale
 	case DialRefused, DialTimeout, DialFailed, CutInWrite, Crowded:
 		return linkpass.ConnectFailed
 	case Silent:
--- a/internal/layout/replan/replan.go
+++ b/internal/layout/replan/replan.go
@@ -70,6 +70,27 @@
 // to the same slice: one attempt in place of two. A sibling that is in or out is kept,
 // since asking for its keys again costs an attempt and keeping it costs none.
 func Replan(now *layout.Layout, parts []Part, i int, left, need time.Duration) (Change, Refusal) {
+	p := parts[i]
+	if now != nil {
+		if s, ok := now.Slice(p.Slice); ok && s.Range.Holds(p.Range) {
+			return Change{}, Unknown
+		}
+	}
+	c, why := Rest(now, parts, i, []layout.Range{p.Range}, left, need)
+	if why != Done {
+		return Change{}, why
+	}
+	for k, sibling := range parts {
+		if k != i && sibling.Standing == Waiting && sibling.Round < MaxRounds {
+			c.join(now, k, sibling)
+		}
+	}
+	return c, Done
+}
+
+// Rest plans anew what is left of part i once a piece of it is answered, or all of it: its
+// slice may serve still, and another holder may have the rest.
+func Rest(now *layout.Layout, parts []Part, i int, rest []layout.Range, left, need time.Duration) (Change, Refusal) {
 	p := parts[i]
 	switch {
 	case p.Standing == In:
@@ -81,36 +102,31 @@
 	case left <= need:
 		return Change{}, NoTime
 	}
-	if s, ok := now.Slice(p.Slice); ok && s.Range.Holds(p.Range) {
-		return Change{}, Unknown
-	}
-	c := Change{Drop: []int{i}, Add: Plan(now, []layout.Range{p.Range})}
-	covered := 0.0
+	c := Change{Drop: []int{i}, Add: Plan(now, rest)}
 	for k := range c.Add {
 		c.Add[k].Round = p.Round + 1
-		covered += c.Add[k].Range.Size()
 	}
-	if len(c.Add) == 0 || covered != p.Range.Size() && !exact(c.Add, p.Range) {
-		return Change{}, Incoherent
-	}
-	for k, sibling := range parts {
-		if k != i && sibling.Standing == Waiting && sibling.Round < MaxRounds {
-			c.join(now, k, sibling)
+	for _, r := range rest {
+		if !exact(c.Add, r) {
+			return Change{}, Incoherent
 		}
 	}
 	return c, Done
 }
 
-// exact tells whether parts in order of keys make up a range without a gap: sizes are rounded.
+// exact tells whether parts, in order of keys, ask for all of a range.
 func exact(parts []Part, r layout.Range) bool {
 	next := r.First
 	for _, p := range parts {
 		if p.Range.First != next {
-			return false
+			continue
+		}
+		if p.Range.Last == r.Last {
+			return true
 		}
 		next = p.Range.Last + 1
 	}
-	return parts[len(parts)-1].Range.Last == r.Last
+	return false
 }
 
 // join takes a waiting sibling along, if all of it lies beside a new part in one slice.
--- a/internal/opensearch/dialect.go
+++ b/internal/opensearch/dialect.go
@@ -9,10 +9,12 @@
 	"math"
 	"net/textproto"
 	"net/url"
+	"strconv"
 
 	"linkpass/internal/coordinator"
 	"linkpass/internal/end"
 	"linkpass/internal/http1"
+	"linkpass/internal/layout"
 	"linkpass/internal/peer"
 	"linkpass/internal/report"
 )
@@ -23,6 +25,16 @@
 	ReportNames []string // names of a report's values, in the header X-Server-Load
 }
 
+// Headers of a search on a layout that can move, beside OpenSearch's own. A part
+// carries its version and the range it asks for. A server that has the slice no more
+// answers 409 with the version that it is at, without having run anything; an answer
+// says which keys it covers.
+const (
+	HeaderVersion = "X-Layout-Version"
+	HeaderRange   = "X-Layout-Range"
+	HeaderCovers  = "X-Layout-Covers"
+)
+
 const (
 	maxConns = 16        // to one server: one descriptor each
 	maxReply = 256 << 10 // bytes of an answer: all parts held at once must fit in memory
@@ -30,7 +42,9 @@
 )
 
 // Room is one part a connection.
-func (d Dialect) Room() peer.Room { return peer.Room{Streams: 1, Conns: maxConns, Exclusive: true} }
+func (d Dialect) Room() peer.Room {
+	return peer.Room{Streams: 1, Conns: maxConns, Exclusive: true, Ranges: true}
+}
 
 // Call words one part as a search.
 func (d Dialect) Call(parts []peer.Part) []byte {
@@ -42,6 +56,11 @@
 		}
 		path += fmt.Sprintf("?preference=_shards:%d&timeout=%dms", p.Shard, max(1, p.Wait.Milliseconds()))
 		header := textproto.MIMEHeader{"Content-Type": {"application/json"}, "X-Opaque-Id": {p.Name}}
+		if p.Ask != nil {
+			path = fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms", url.PathEscape(p.Collection), p.Ask.Slice, max(1, p.Wait.Milliseconds()))
+			header.Set(HeaderVersion, strconv.FormatUint(p.Ask.Version, 10))
+			header.Set(HeaderRange, p.Ask.Range.String())
+		}
 		// Writes to a buffer do not fail.
 		_ = http1.WriteRequest(&b, "POST", path, host, header, searchOf(p.Text))
 	}
@@ -110,7 +129,22 @@
 		return peer.Message{}, end.OfRead(err, false), err
 	}
 	m := peer.Message{End: end.ServerError, Last: res.Close, Report: report.Parse(res.Header.Get("X-Server-Load"), r.ReportNames)}
+	if text := res.Header.Get(HeaderVersion); text != "" {
+		if m.Layout, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return m, end.Garbled, fmt.Errorf("opensearch: %s %.40q: %w", HeaderVersion, text, err)
+		}
+	}
+	if text := res.Header.Get(HeaderCovers); text != "" {
+		r, err := layout.ParseRange(text)
+		if err != nil {
+			return m, end.Garbled, fmt.Errorf("opensearch: %s: %w", HeaderCovers, err)
+		}
+		m.Covers = &r
+	}
 	switch {
+	case res.Status == 409 && m.Layout > 0:
+		m.End = end.Moved
+		return m, 0, nil
 	case res.Status == 429:
 		m.End = end.TurnedAway
 		return m, 0, nil
--- a/internal/opensearch/errors.go
+++ b/internal/opensearch/errors.go
@@ -28,6 +28,9 @@
 	Shard  int    `json:"shard"`
 	Index  string `json:"index"`
 	Reason cause  `json:"reason"`
+	// Of a layout that can move: the keys that are missing, and the version they were asked on.
+	Range   string `json:"range,omitempty"`
+	Version uint64 `json:"layout_version,omitempty"`
 }
 
 func badRequest(kind, reason string) *cause { return &cause{Type: kind, Reason: reason, Status: 400} }
@@ -76,6 +79,8 @@
 		kind = "node_disconnected_exception"
 	case end.Silent:
 		kind = "receive_timeout_transport_exception"
+	case end.Moved, end.Ahead, end.Pieced:
+		kind = "illegal_index_shard_state_exception"
 	case end.CalledOff, end.Withheld:
 		kind = "task_cancelled_exception"
 	}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -38,6 +38,7 @@
 	Shards   int
 	Catalog  func() *catalog.Catalog
 	Settings http1.Handler // of /_cluster/settings
+	Changes  Changes       // of layouts; nil: they are a file's
 	Prefix   string        // makes this instance's names of searches its own
 	Counters *counters.Set
 
@@ -84,6 +85,12 @@
 	switch {
 	case req.Path == "/_cluster/settings":
 		return f.Settings.Serve(ctx, began, req)
+	case steps[0] == "_cat" && len(steps) >= 2 && len(steps) <= 3 && steps[1] == "shards" && req.Method == "GET":
+		return f.catShards(strings.Join(steps[2:], ""), req)
+	case len(steps) == 2 && steps[1] == "_search_shards" && (req.Method == "GET" || req.Method == "POST"):
+		return f.searchShards(steps[0], req)
+	case req.Path == "/_cluster/reroute" && req.Method == "POST":
+		return f.reroute(req)
 	case len(steps) == 2 && steps[1] == "_search":
 		if req.Method != "POST" && req.Method != "GET" {
 			return errorResponse(&cause{Type: "illegal_argument_exception", Status: 405,
@@ -106,18 +113,22 @@
 	settings := f.Catalog()
 	where, ok := settings.Indices[index]
 	if !ok {
-		return search{}, &cause{Type: "index_not_found_exception", Reason: fmt.Sprintf("no such index [%.255s]", index), Index: index, Status: 404}
+		return search{}, noIndex(index)
 	}
-	s, preferred, err := parseSearch(req.Query, req.Body, settings)
-	if err != nil {
-		if c, ok := err.(*cause); ok {
-			return s, c
+	s, bad := readSearch(req.Query, req.Body, settings)
+	if bad != nil {
+		return s, bad
+	}
+	s.index = index
+	if l := settings.Layout(index); l != nil {
+		if s.wanted, bad = s.wantedKeys(l); bad != nil {
+			return s, bad
 		}
-		return s, badRequest("illegal_argument_exception", err.Error())
+	} else if s.slices = where.Slices; s.preferred != nil {
+		s.slices = s.preferred
 	}
-	s.index, s.slices = index, where.Slices
-	if preferred != nil {
-		s.slices = preferred
+	if s.wanted == nil && (s.ranges != nil || s.routing != nil) {
+		return s, badRequest("illegal_argument_exception", fmt.Sprintf("index [%s] has a fixed layout: neither routing nor _ranges is known there", index))
 	}
 	for _, slice := range s.slices {
 		if !slices.Contains(where.Slices, slice) || slice >= f.Shards {
@@ -151,7 +162,7 @@
 	done := make(chan coordinator.Answer, 1)
 	leave := f.Core.Submit(coordinator.Query{
 		Name: f.Prefix + "-" + strconv.FormatUint(f.searches.Add(1), 10), Collection: index, Class: s.class,
-		Began: began, Timeout: s.timeout, Parts: parts, Reply: func(a coordinator.Answer) { done <- a },
+		Began: began, Timeout: s.timeout, Parts: parts, Wanted: s.wanted, Text: text, Reply: func(a coordinator.Answer) { done <- a },
 	})
 	var a coordinator.Answer
 	select {
@@ -166,9 +177,25 @@
 // response words the core's answer. What is missing is always told.
 func (f *Front) response(s search, a coordinator.Answer, took int64) *http1.Response {
 	counts := shards{Total: len(s.slices), Successful: len(s.slices) - len(a.Missing), Failed: len(a.Missing)}
+	if s.wanted != nil { // as many as it was cut into in the end
+		counts.Total, counts.Successful = len(a.Values)+len(a.Missing), len(a.Values)
+	}
 	for _, m := range a.Missing {
-		counts.Failures = append(counts.Failures, failure{Shard: m.Shard, Index: s.index, Reason: reasonOf(m.Last, m.Tried)})
+		lost := failure{Shard: m.Shard, Index: s.index, Reason: reasonOf(m.Last, m.Tried)}
+		if m.Ask != nil {
+			lost.Shard, lost.Range, lost.Version = int(m.Ask.Slice), m.Ask.Range.String(), m.Ask.Version
+		}
+		counts.Failures = append(counts.Failures, lost)
+	}
+	res := f.word(s, a, took, counts)
+	if a.Layout > 0 {
+		res.Header[HeaderVersion] = []string{strconv.FormatUint(a.Layout, 10)}
 	}
+	return res
+}
+
+// word words an answer of which so much is in.
+func (f *Front) word(s search, a coordinator.Answer, took int64, counts shards) *http1.Response {
 	if a.Verdict == coordinator.Answered && (a.Whole || s.allowPartial) {
 		return jsonResponse(200, result{Took: took, TimedOut: a.TimedOut && !a.Whole, Shards: counts, Hits: s.merge(a.Values)})
 	}
@@ -197,11 +224,15 @@
 	for _, v := range values {
 		if v.Hits == nil {
 			score := v.Score
-			source, err := json.Marshal(map[string]any{"slice": v.Shard, "data": string(v.Data)})
+			slice := v.Shard
+			if v.Ask != nil {
+				slice = int(v.Ask.Slice)
+			}
+			source, err := json.Marshal(map[string]any{"slice": slice, "data": string(v.Data)})
 			if err != nil { // a number and a string always encode
 				continue
 			}
-			all = append(all, hit{Index: s.index, ID: strconv.Itoa(v.Shard), Score: &score, Source: source})
+			all = append(all, hit{Index: s.index, ID: strconv.Itoa(slice), Score: &score, Source: source})
 			out.Total.Value++
 			continue
 		}
--- /dev/null
+++ b/internal/opensearch/layouts.go
@@ -0,0 +1,342 @@
+package opensearch
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/textproto"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/http1"
+	"linkpass/internal/layout"
+	"linkpass/internal/layout/coverage"
+	"linkpass/internal/store"
+)
+
+// Changes takes changes of the document, each a compare-and-set. The search front has
+// none where its settings are a file's.
+type Changes interface {
+	Update(func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error)
+}
+
+// maxCommands bounds one call of /_cluster/reroute.
+const maxCommands = 64
+
+// wantedKeys are the keys that a search on a layout asks for: by routing values, ranges or
+// slices, or all.
+func (s *search) wantedKeys(l *layout.Layout) ([]layout.Range, *cause) {
+	var out []layout.Range
+	for _, value := range s.routing {
+		key := layout.Key(value)
+		out = append(out, layout.Range{First: key, Last: key})
+	}
+	out = append(out, s.ranges...)
+	for _, id := range s.preferred {
+		found, ok := l.Slice(layout.SliceID(id))
+		if !ok {
+			return nil, &cause{Type: "shard_not_found_exception", Index: s.index, Status: 404,
+				Reason: fmt.Sprintf("no such shard [%d] in index [%s] at layout version [%d]", id, s.index, l.Version())}
+		}
+		out = append(out, found.Range)
+	}
+	if len(out) == 0 {
+		out = []layout.Range{layout.All}
+	}
+	return coverage.Of(out...).Ranges(), nil
+}
+
+// shardRow is one copy of a slice, in the terms of /_cat/shards and /_search_shards.
+type shardRow struct {
+	Index   string  `json:"index"`
+	Shard   uint64  `json:"shard"`
+	State   string  `json:"state"`
+	Range   string  `json:"range"`
+	Epoch   uint64  `json:"epoch"`
+	Node    string  `json:"node"`
+	Plan    uint64  `json:"plan,omitempty"`
+	Step    string  `json:"step,omitempty"`
+	Version uint64  `json:"version"`
+	Primary bool    `json:"primary"`
+	Share   float64 `json:"share"` // of the key space
+}
+
+// rows lists the copies of an index's slices: those that serve, then those of open plans.
+func rows(index string, l *layout.Layout) (out []shardRow) {
+	planned := map[layout.SliceID]layout.Plan{}
+	for _, p := range l.Plans() {
+		for _, s := range append(slices.Clone(p.From), p.To...) {
+			planned[s.ID] = p
+		}
+	}
+	add := func(s layout.Slice, state string) {
+		for i, node := range s.Holders {
+			row := shardRow{Index: index, Shard: uint64(s.ID), State: state, Range: s.Range.String(), Epoch: s.Epoch,
+				Node: node, Version: l.Version(), Primary: i == 0, Share: s.Range.Size() / layout.All.Size()}
+			if p, ok := planned[s.ID]; ok {
+				row.Plan, row.Step = uint64(p.ID), string(p.Step)
+			}
+			out = append(out, row)
+		}
+	}
+	for _, s := range l.Slices() {
+		state := "STARTED"
+		if _, moving := planned[s.ID]; moving && s.Epoch < l.Version() {
+			state = "RELOCATING"
+		}
+		add(s, state)
+	}
+	for _, p := range l.Plans() {
+		if p.Step == layout.Switched {
+			for _, s := range p.From {
+				add(s, "RETIRING")
+			}
+			continue
+		}
+		for _, s := range p.To {
+			add(s, "INITIALIZING")
+		}
+	}
+	return out
+}
+
+// catShards answers GET /_cat/shards[/{index}].
+func (f *Front) catShards(index string, req *http1.Request) *http1.Response {
+	params, err := url.ParseQuery(req.Query)
+	if err != nil {
+		return f.reject(badRequest("illegal_argument_exception", err.Error()))
+	}
+	c := f.Catalog()
+	var all []shardRow
+	for _, name := range slices.Sorted(maps.Keys(c.Indices)) {
+		if index != "" && index != name {
+			continue
+		}
+		if l := c.Layout(name); l != nil {
+			all = append(all, rows(name, l)...)
+			continue
+		}
+		for _, s := range c.Indices[name].Slices { // who holds those is the module's to know
+			all = append(all, shardRow{Index: name, Shard: uint64(s), State: "STARTED", Node: "-", Primary: true})
+		}
+	}
+	if _, ok := c.Indices[index]; index != "" && !ok {
+		return f.reject(noIndex(index))
+	}
+	if params.Get("format") == "json" {
+		return jsonResponse(200, all)
+	}
+	var b bytes.Buffer
+	if params.Has("v") {
+		fmt.Fprintln(&b, "index shard state range epoch node plan step")
+	}
+	for _, r := range all {
+		plan := "-"
+		if r.Plan > 0 {
+			plan = strconv.FormatUint(r.Plan, 10)
+		}
+		fmt.Fprintf(&b, "%s %d %s %s %d %s %s %s\n", r.Index, r.Shard, r.State, orDash(r.Range), r.Epoch, r.Node, plan, orDash(r.Step))
+	}
+	return &http1.Response{Status: 200, Body: b.Bytes(), Header: textproto.MIMEHeader{"Content-Type": {"text/plain; charset=UTF-8"}}}
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func noIndex(index string) *cause {
+	return &cause{Type: "index_not_found_exception", Reason: fmt.Sprintf("no such index [%.255s]", index), Index: index, Status: 404}
+}
+
+// searchShards answers GET /{index}/_search_shards: the copies that a search would choose from.
+func (f *Front) searchShards(index string, req *http1.Request) *http1.Response {
+	c := f.Catalog()
+	if _, ok := c.Indices[index]; !ok {
+		return f.reject(noIndex(index))
+	}
+	l := c.Layout(index)
+	if l == nil {
+		return f.reject(badRequest("illegal_argument_exception", fmt.Sprintf("index [%s] has a fixed layout: its shards' nodes are the list's", index)))
+	}
+	s, bad := readSearch(req.Query, nil, c)
+	if bad != nil {
+		return f.reject(bad)
+	}
+	s.index = index
+	wanted, bad := s.wantedKeys(l)
+	if bad != nil {
+		return f.reject(bad)
+	}
+	nodes, groups := map[string]struct{}{}, [][]shardRow{}
+	for _, r := range wanted {
+		l.Each(r, func(s layout.Slice) bool {
+			var group []shardRow
+			for i, node := range s.Holders {
+				nodes[node] = struct{}{}
+				group = append(group, shardRow{Index: index, Shard: uint64(s.ID), State: "STARTED", Range: s.Range.String(),
+					Epoch: s.Epoch, Node: node, Version: l.Version(), Primary: i == 0, Share: s.Range.Size() / layout.All.Size()})
+			}
+			if n := len(groups); n == 0 || groups[n-1][0].Shard != group[0].Shard {
+				groups = append(groups, group)
+			}
+			return true
+		})
+	}
+	return jsonResponse(200, map[string]any{"nodes": nodes, "shards": groups, "layout_version": l.Version()})
+}
+
+// rerouteCommand is one command of /_cluster/reroute, by its name.
+type rerouteCommand struct {
+	Index  string     `json:"index"`
+	Shard  uint64     `json:"shard"`
+	Shards []uint64   `json:"shards"`
+	From   string     `json:"from_node"`
+	To     string     `json:"to_node"`
+	Nodes  [][]string `json:"to_nodes"`
+	Into   int        `json:"into"`
+	Plan   uint64     `json:"plan"`
+}
+
+// command is the layout's command for it, on a version.
+func (r rerouteCommand) command(name string, l *layout.Layout) (layout.Command, error) {
+	ids := []layout.SliceID{layout.SliceID(r.Shard)}
+	switch name {
+	case "move":
+		to := r.Nodes
+		if len(to) == 0 {
+			s, ok := l.Slice(ids[0])
+			if !ok {
+				return layout.Command{}, fmt.Errorf("%w: slice %d", layout.ErrUnknown, r.Shard)
+			}
+			i := slices.Index(s.Holders, r.From)
+			if i < 0 || r.To == "" {
+				return layout.Command{}, fmt.Errorf("%w: slice %d is not on node %.80q, or no to_node", layout.ErrOrder, r.Shard, r.From)
+			}
+			set := slices.Clone(s.Holders)
+			set[i] = r.To
+			to = [][]string{set}
+		}
+		return layout.Command{Order: &layout.Order{Kind: layout.Move, Slices: ids, To: to}}, nil
+	case "split":
+		return layout.Command{Order: &layout.Order{Kind: layout.Split, Slices: ids, Into: max(2, r.Into), To: r.Nodes}}, nil
+	case "merge":
+		ids = ids[:0]
+		for _, s := range r.Shards {
+			ids = append(ids, layout.SliceID(s))
+		}
+		return layout.Command{Order: &layout.Order{Kind: layout.Merge, Slices: ids, To: r.Nodes}}, nil
+	case "abandon":
+		return layout.Command{Abandon: &layout.Abandon{Plan: layout.PlanID(r.Plan), Why: "ordered"}}, nil
+	case "resume":
+		return resume(l, layout.PlanID(r.Plan))
+	}
+	return layout.Command{}, fmt.Errorf("%w: command %.40q; known are move, split, merge, abandon, resume", layout.ErrOrder, name)
+}
+
+// resume orders once more what an abandoned plan was to do.
+func resume(l *layout.Layout, id layout.PlanID) (layout.Command, error) {
+	p, ok := l.Plan(id)
+	if !ok || p.Step != layout.Abandoned {
+		return layout.Command{}, fmt.Errorf("%w: plan %d was not abandoned, or too long ago", layout.ErrUnknown, id)
+	}
+	o := layout.Order{Kind: p.Kind, Into: len(p.To)}
+	for _, s := range p.From {
+		o.Slices = append(o.Slices, s.ID)
+	}
+	for _, s := range p.To {
+		o.To = append(o.To, s.Holders)
+	}
+	return layout.Command{Order: &o}, nil
+}
+
+// reroute answers POST /_cluster/reroute: all commands or none.
+func (f *Front) reroute(req *http1.Request) *http1.Response {
+	params, err := url.ParseQuery(req.Query)
+	if err != nil {
+		return f.reject(badRequest("illegal_argument_exception", err.Error()))
+	}
+	var body struct {
+		Commands []map[string]rerouteCommand `json:"commands"`
+	}
+	d := json.NewDecoder(bytes.NewReader(req.Body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&body); err != nil {
+		return f.reject(badRequest("parsing_exception", err.Error()))
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) || len(body.Commands) == 0 || len(body.Commands) > maxCommands {
+		return f.reject(badRequest("illegal_argument_exception", fmt.Sprintf("1 to %d commands are taken, and nothing after them", maxCommands)))
+	}
+	if f.Changes == nil {
+		return f.reject(badRequest("illegal_state_exception", "layouts change in the replicated store only, and this instance has none"))
+	}
+	touched := map[string]bool{}
+	change := func(c *catalog.Catalog) (*catalog.Catalog, error) {
+		clear(touched)
+		return orderAll(c, body.Commands, touched)
+	}
+	var next *catalog.Catalog
+	if dry := params.Get("dry_run"); dry == "true" {
+		next, err = change(f.Catalog())
+	} else if dry == "" || dry == "false" {
+		next, err = f.Changes.Update(change)
+	} else {
+		return f.reject(badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse value [%.40s] as only [true] or [false] are allowed.", dry)))
+	}
+	if err != nil {
+		return f.rerouteError(err)
+	}
+	plans, versions := map[string][]layout.Plan{}, map[string]uint64{}
+	for _, name := range slices.Sorted(maps.Keys(touched)) {
+		if l := next.Layout(name); l != nil {
+			plans[name], versions[name] = l.Plans(), l.Version()
+		}
+	}
+	return jsonResponse(200, map[string]any{"acknowledged": true, "dry_run": params.Get("dry_run") == "true", "plans": plans, "versions": versions})
+}
+
+// orderAll is the document after all commands.
+func orderAll(c *catalog.Catalog, commands []map[string]rerouteCommand, touched map[string]bool) (*catalog.Catalog, error) {
+	for i, one := range commands {
+		if len(one) != 1 {
+			return nil, fmt.Errorf("%w: command %d must be an object with one name", layout.ErrOrder, i)
+		}
+		for name, r := range one {
+			l := c.Layout(r.Index)
+			if l == nil {
+				return nil, fmt.Errorf("%w: command %d: index %.80q has no layout that can change", layout.ErrUnknown, i, r.Index)
+			}
+			cmd, err := r.command(name, l)
+			if err == nil {
+				l, err = l.Apply(cmd)
+			}
+			if err != nil {
+				return nil, fmt.Errorf("command %d (%.40s): %w", i, name, err)
+			}
+			c, touched[r.Index] = c.WithLayout(r.Index, l), true
+		}
+	}
+	return c, nil
+}
+
+// rerouteError words why an order was not taken. One that is impossible names the invariant.
+func (f *Front) rerouteError(err error) *http1.Response {
+	for _, invariant := range []error{layout.ErrVersion, layout.ErrCover, layout.ErrHolder, layout.ErrOverlap, layout.ErrUnknown,
+		layout.ErrStep, layout.ErrOrder, layout.ErrCapacity, layout.ErrIdentity, catalog.ErrInvalid} {
+		if errors.Is(err, invariant) {
+			return f.reject(badRequest("illegal_argument_exception", strings.TrimPrefix(err.Error(), "store: ")))
+		}
+	}
+	if errors.Is(err, store.ErrConflict) {
+		return errorResponse(&cause{Type: "version_conflict_engine_exception", Reason: err.Error(), Status: 409})
+	}
+	return storeError(err, "/_cluster/reroute")
+}
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -239,14 +239,14 @@
 
 func TestSearchesFromAnything(t *testing.T) {
 	const valid = `{"query":{"bool":{"must":[{"match":{"name":"x"}}],"filter":{"term":{"a":1}}}},"from":1,"size":3,"timeout":"1s"}`
-	if _, _, err := parseSearch("", []byte(valid), settings()); err != nil {
+	if _, err := parseSearch("", []byte(valid), settings()); err != nil {
 		t.Fatal(err)
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		if _, _, err := parseSearch("", []byte(valid[:rapid.IntRange(1, len(valid)-1).Draw(t, "at")]), settings()); err == nil {
+		if _, err := parseSearch("", []byte(valid[:rapid.IntRange(1, len(valid)-1).Draw(t, "at")]), settings()); err == nil {
 			t.Fatal("took a cut search")
 		}
-		_, _, _ = parseSearch(rapid.String().Draw(t, "params"), rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"), settings())
+		_, _ = parseSearch(rapid.String().Draw(t, "params"), rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"), settings())
 	})
 }
 
--- a/internal/opensearch/query.go
+++ b/internal/opensearch/query.go
@@ -14,13 +14,18 @@
 	"time"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/layout"
 )
 
 // search is one search as its client asked for it.
 type search struct {
 	index        string
 	class        int
-	slices       []int
+	slices       []int          // of a fixed layout
+	wanted       []layout.Range // keys of a layout that can move
+	preferred    []int
+	routing      []string
+	ranges       []layout.Range
 	query        json.RawMessage
 	from, size   int
 	timeout      time.Duration // 0: that of the class
@@ -38,32 +43,45 @@
 
 const (
 	defaultSize = 10
-	maxDepth    = 16 // of nested bool queries
+	maxDepth    = 16   // of nested bool queries
+	maxChoices  = 1024 // shards, ranges or routing values of a search
 )
 
 // parseSearch reads a search of an index; its slices and class are looked up
 // by the front.
-func parseSearch(params string, data []byte, settings *catalog.Catalog) (s search, preferred []int, err error) {
+func parseSearch(params string, data []byte, settings *catalog.Catalog) (s search, err error) {
 	s = search{query: json.RawMessage(`{"match_all":{}}`), size: defaultSize,
 		timeout: settings.Timeout(), allowPartial: settings.AllowPartial()}
 	if len(bytes.TrimSpace(data)) > 0 {
 		if err := s.readBody(data); err != nil {
-			return s, nil, err
+			return s, err
 		}
 	}
-	if preferred, err = s.readParams(params); err != nil {
-		return s, nil, err
+	if err = s.readParams(params); err != nil {
+		return s, err
 	}
 	switch {
 	case s.from < 0:
-		return s, nil, badRequest("illegal_argument_exception", "[from] parameter cannot be negative")
+		return s, badRequest("illegal_argument_exception", "[from] parameter cannot be negative")
 	case s.size < 0:
-		return s, nil, badRequest("illegal_argument_exception", "[size] parameter cannot be negative")
+		return s, badRequest("illegal_argument_exception", "[size] parameter cannot be negative")
 	case s.from > settings.Window() || s.size > settings.Window()-s.from:
-		return s, nil, badRequest("illegal_argument_exception", fmt.Sprintf(
+		return s, badRequest("illegal_argument_exception", fmt.Sprintf(
 			"Result window is too large, from + size must be less than or equal to: [%d]", settings.Window()))
 	}
-	return s, preferred, nil
+	return s, nil
+}
+
+// readSearch is parseSearch with its error as a cause.
+func readSearch(params string, data []byte, settings *catalog.Catalog) (search, *cause) {
+	s, err := parseSearch(params, data, settings)
+	if c, ok := err.(*cause); ok {
+		return s, c
+	}
+	if err != nil {
+		return s, badRequest("illegal_argument_exception", err.Error())
+	}
+	return s, nil
 }
 
 func (s *search) readBody(data []byte) error {
@@ -112,10 +130,10 @@
 }
 
 // readParams reads the parameters of the URL, which go before the body's.
-func (s *search) readParams(params string) (preferred []int, err error) {
+func (s *search) readParams(params string) error {
 	values, err := url.ParseQuery(params)
 	if err != nil {
-		return nil, badRequest("illegal_argument_exception", err.Error())
+		return badRequest("illegal_argument_exception", err.Error())
 	}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		text := values.Get(name)
@@ -123,7 +141,7 @@
 		case "from", "size":
 			n, err := strconv.Atoi(text)
 			if err != nil {
-				return nil, badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse int parameter [%s] with value [%.40s]", name, text))
+				return badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse int parameter [%s] with value [%.40s]", name, text))
 			}
 			if name == "from" {
 				s.from = n
@@ -132,31 +150,57 @@
 			}
 		case "timeout":
 			if err := s.readTimeout(text); err != nil {
-				return nil, err
+				return err
 			}
 		case "allow_partial_search_results":
 			allow, err := strconv.ParseBool(text)
 			if err != nil {
-				return nil, badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse value [%.40s] as only [true] or [false] are allowed.", text))
+				return badRequest("illegal_argument_exception", fmt.Sprintf("Failed to parse value [%.40s] as only [true] or [false] are allowed.", text))
 			}
 			s.allowPartial = allow
 		case "preference":
-			list, ok := strings.CutPrefix(text, "_shards:")
-			if !ok {
-				return nil, badRequest("illegal_argument_exception", fmt.Sprintf("preference [%.40s] is not supported", text))
+			if err := s.readPreference(text); err != nil {
+				return err
 			}
-			for item := range strings.SplitSeq(list, ",") {
-				n, err := strconv.Atoi(item)
-				if err != nil || n < 0 || slices.Contains(preferred, n) {
-					return nil, badRequest("illegal_argument_exception", fmt.Sprintf("preference names no shard or one twice: [%.40s]", item))
-				}
-				preferred = append(preferred, n)
+		case "routing":
+			s.routing = strings.Split(text, ",")
+			if len(s.routing) > maxChoices {
+				return badRequest("illegal_argument_exception", fmt.Sprintf("more than %d routing values", maxChoices))
 			}
 		default:
-			return nil, badRequest("illegal_argument_exception", fmt.Sprintf("request [_search] contains unrecognized parameter: [%.40s]", name))
+			return badRequest("illegal_argument_exception", fmt.Sprintf("request [_search] contains unrecognized parameter: [%.40s]", name))
+		}
+	}
+	return nil
+}
+
+// readPreference reads which part of the index is asked: _shards:N,… or, of a layout that
+// can move, _ranges:FIRST-LAST,…
+func (s *search) readPreference(text string) error {
+	kind, list, _ := strings.Cut(text, ":")
+	if kind != "_shards" && kind != "_ranges" {
+		return badRequest("illegal_argument_exception", fmt.Sprintf("preference [%.40s] is not supported", text))
+	}
+	items := strings.Split(list, ",")
+	if len(items) > maxChoices {
+		return badRequest("illegal_argument_exception", fmt.Sprintf("preference names more than %d", maxChoices))
+	}
+	for _, item := range items {
+		if kind == "_ranges" {
+			r, err := layout.ParseRange(item)
+			if err != nil {
+				return badRequest("illegal_argument_exception", err.Error())
+			}
+			s.ranges = append(s.ranges, r)
+			continue
 		}
+		n, err := strconv.Atoi(item)
+		if err != nil || n < 0 || slices.Contains(s.preferred, n) {
+			return badRequest("illegal_argument_exception", fmt.Sprintf("preference names no shard or one twice: [%.40s]", item))
+		}
+		s.preferred = append(s.preferred, n)
 	}
-	return preferred, nil
+	return nil
 }
 
 // leaves are the queries that are handed on to the league servers, with
--- a/internal/opensearch/settings.go
+++ b/internal/opensearch/settings.go
@@ -36,7 +36,7 @@
 			}
 			c, err := s.Read()
 			if err != nil {
-				return storeError(err)
+				return storeError(err, "/_cluster/settings")
 			}
 			return settingsResponse(c, false)
 		case "PUT":
@@ -46,7 +46,7 @@
 			}
 			c, err := s.Change(patch)
 			if err != nil {
-				return storeError(err)
+				return storeError(err, "/_cluster/settings")
 			}
 			return settingsResponse(c, true)
 		}
@@ -73,13 +73,13 @@
 }
 
 // storeError words why the store could not answer. A follower names the leader.
-func storeError(err error) *http1.Response {
+func storeError(err error, path string) *http1.Response {
 	var other *store.NotLeader
 	c := &cause{Type: "cluster_manager_not_discovered_exception", Reason: err.Error(), Status: 503}
 	switch {
 	case errors.As(err, &other):
 		res := errorResponse(&cause{Type: "not_cluster_manager_exception", Reason: err.Error(), Status: 307})
-		res.Header["Location"] = []string{"http://" + other.Leader.HTTP + "/_cluster/settings"}
+		res.Header["Location"] = []string{"http://" + other.Leader.HTTP + path}
 		return res
 	case errors.Is(err, catalog.ErrInvalid):
 		return errorResponse(badRequest("illegal_argument_exception", err.Error()))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
 	"linkpass/internal/end"
+	"linkpass/internal/layout"
 )
 
 // Sink takes the ends of attempts and probes, and keeps the deadlines.
@@ -33,6 +34,7 @@
 	Shard      int
 	Wait       time.Duration
 	Text       []byte
+	Ask        *coordinator.Ask // nil: the layout is fixed
 }
 
 // Message is what a server sent. Where one thing at a time is out, it needs no
@@ -45,7 +47,9 @@
 	Value  []byte
 	Score  float64
 	Hits   *coordinator.Hits
-	Last   bool // the server closes the connection after it
+	Layout uint64        // the version that the server is at; 0: it says none
+	Covers *layout.Range // the keys that the value is about; nil: it does not say
+	Last   bool          // the server closes the connection after it
 }
 
 // Room says how much a dialect can have out.
@@ -53,6 +57,7 @@
 	Streams   int  // parts at a time on a connection
 	Conns     int  // connections to a server
 	Exclusive bool // one part or probe at a time; given up by closing
+	Ranges    bool // a part may ask for some keys of a slice
 }
 
 // Dialect words messages to a server and reads its messages.
@@ -500,7 +505,7 @@
 func (p *Peer) write(c *conn, list []coordinator.Attempt) {
 	now := p.cfg.Sink.Now()
 	var parts []Part
-	var sent, withheld []coordinator.Attempt
+	var sent, withheld, moved, whole []coordinator.Attempt
 	for _, a := range list {
 		name := a.Query + "." + strconv.Itoa(a.Shard)
 		_, twin := c.parts[name] // two open queries of one name: answers could not be told apart
@@ -508,10 +513,20 @@
 			withheld = append(withheld, a)
 			continue
 		}
-		parts = append(parts, Part{Name: name, Collection: a.Collection, Shard: a.Shard, Text: a.Text, Wait: a.Ends - now})
+		if a.Gone() { // its slice has left this server since the module chose it
+			moved = append(moved, a)
+			continue
+		}
+		if a.Ask != nil && a.Ask.Piece && !p.room.Ranges { // the answer would hold more than was asked for
+			whole = append(whole, a)
+			continue
+		}
+		parts = append(parts, Part{Name: name, Collection: a.Collection, Shard: a.Shard, Text: a.Text, Wait: a.Ends - now, Ask: a.Ask})
 		sent = append(sent, a)
 	}
 	p.endAll(withheld, end.Withheld)
+	p.endAll(moved, end.Moved)
+	p.endAll(whole, end.Unversioned)
 	if len(parts) == 0 {
 		return
 	}
@@ -598,7 +613,8 @@
 	}
 	c.waits = false
 	p.dropSilent(c, at)
-	result := coordinator.Result{End: m.End, Report: m.Report, Value: m.Value, Score: m.Score, Hits: m.Hits, At: at}
+	result := coordinator.Result{End: m.End, Report: m.Report, Value: m.Value, Score: m.Score, Hits: m.Hits, At: at,
+		Layout: m.Layout, Covers: m.Covers}
 	if p.room.Exclusive {
 		m.Probe = m.Probe || len(c.probes) > 0
 		for name := range c.parts {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,12 +38,16 @@
 	Initial *catalog.Catalog `toml:"-"` // what holds until something is replicated; nil: nothing
 	// Pace scales Raft's own time limits, 1 being the library's defaults.
 	Pace float64 `toml:"pace"`
+	// Changed is called with each document that takes hold, one after another; it
+	// should not wait for long.
+	Changed func(*catalog.Catalog) `toml:"-"`
 	// Listener takes the place of one on this member's address, if set.
 	Listener net.Listener `toml:"-"`
 }
 
 // Errors of a change or of a read.
 var (
+	ErrConflict = errors.New("store: another change came first")
 	ErrNoLeader = errors.New("store: no leader is known, a majority may be out of reach")
 	ErrNoQuorum = errors.New("store: a majority did not confirm in time")
 )
@@ -92,7 +96,7 @@
 			*d = time.Duration(c.Pace * float64(*d))
 		}
 	}
-	s := &Store{config: c, machine: &machine{}}
+	s := &Store{config: c, machine: &machine{changed: c.Changed}}
 	initial := c.Initial
 	if initial == nil {
 		initial = &catalog.Catalog{}
@@ -169,16 +173,26 @@
 // Change applies a merge patch once a majority has it. What is replicated is
 // the whole document, as instances may differ in what they began with.
 func (s *Store) Change(patch []byte) (*catalog.Catalog, error) {
+	return s.Update(func(now *catalog.Catalog) (*catalog.Catalog, error) { return now.Patch(patch) })
+}
+
+// Update replicates what change makes of the document that holds. It is a compare-and-set:
+// a document that another one has come before is refused with ErrConflict. A change that
+// gives back the document it was given replicates nothing.
+func (s *Store) Update(change func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error) {
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	now, err := s.Read()
 	if err != nil {
 		return nil, err
 	}
-	next, err := now.Patch(patch)
-	if err != nil {
-		return nil, err
+	next, err := change(now)
+	if err != nil || next == now {
+		return next, err
 	}
+	revised := *next
+	revised.Revision = now.Revision + 1
+	next = &revised
 	data, err := json.Marshal(next)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
@@ -190,7 +204,7 @@
 	if err, ok := future.Response().(error); ok {
 		return nil, err
 	}
-	return next, nil
+	return s.Current(), nil
 }
 
 // confirm waits until a majority has confirmed something.
@@ -225,6 +239,9 @@
 	return ErrNoLeader
 }
 
+// Leads tells whether this instance is the leader, as far as it knows.
+func (s *Store) Leads() bool { return s.raft.State() == raft.Leader }
+
 // Close stops the instance; its state stays on disk.
 func (s *Store) Close() error {
 	err := s.raft.Shutdown().Error()
@@ -240,16 +257,29 @@
 // machine is the replicated state: the catalog.
 type machine struct {
 	current atomic.Pointer[catalog.Catalog]
+	changed func(*catalog.Catalog)
+}
+
+// set publishes a document.
+func (m *machine) set(c *catalog.Catalog) {
+	m.current.Store(c)
+	if m.changed != nil {
+		m.changed(c)
+	}
 }
 
 // Apply takes the document of one entry.
 func (m *machine) Apply(entry *raft.Log) any {
-	next, err := catalog.Parse(entry.Data)
+	now := m.current.Load()
+	next, err := catalog.ParseAfter(entry.Data, now)
+	if err == nil && next.Revision != 0 && next.Revision != now.Revision+1 { // 0: of a program before revisions
+		err = fmt.Errorf("%w: revision %d after %d", ErrConflict, next.Revision, now.Revision)
+	}
 	if err != nil {
 		log.Printf("event=settings_bad index=%d err=%q", entry.Index, err)
 		return err
 	}
-	m.current.Store(next)
+	m.set(next)
 	log.Printf("event=settings_changed index=%d", entry.Index)
 	return nil
 }
@@ -268,7 +298,7 @@
 	if err != nil {
 		return fmt.Errorf("store: snapshot: %w", err)
 	}
-	m.current.Store(c)
+	m.set(c)
 	return nil
 }
 
