A controller drives layout changes: pure core, steward shell in the leader

Plans go through their steps by what holders report. The controller is pure and its memory soft: all that must outlive it stands in the layouts, so one that takes over in the middle of any step goes on (rapid: every plan ends, no range is left without its data, with controllers and servers dying). The steward tells servers their duty as a whole state over HTTP and takes each step as one compare-and-set in the store; it runs in the leader alone and only where a store is on.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/BurntSushi/toml"
 
@@ -37,7 +38,8 @@
 type Search struct {
 	Listen string `toml:"listen"`
 	catalog.Catalog
-	Store store.Config `toml:"store"`
+	Store   store.Config `toml:"store"`
+	Reshape Reshape      `toml:"reshape"`
 }
 
 const DefaultSearchFile = "deploy/opensearch.toml"
@@ -58,6 +60,9 @@
 	if err := c.Check(); err != nil {
 		return c, fmt.Errorf("search front %s: %w", path, err)
 	}
+	if _, _, err := c.Reshape.pace(time.Second); err != nil {
+		return c, fmt.Errorf("search front %s: %w", path, err)
+	}
 	if c.Listen == "" && c.Store.ID != "" {
 		return c, fmt.Errorf("search front %s: a store needs the front's listen address", path)
 	}
--- /dev/null
+++ b/internal/daemon/reshape.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"sync"
+	"time"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/discovery"
+	"linkpass/internal/layout/reshape"
+	"linkpass/internal/layout/steward"
+)
+
+// Reshape paces the changes of layouts, as an operator's file says.
+type Reshape struct {
+	Moves       int    `toml:"moves"`        // plans that copy at a time, in all
+	PerServer   int    `toml:"per_server"`   // and for one server
+	Poll        string `toml:"poll"`         // between two calls to every server
+	RetireAfter string `toml:"retire_after"` // old holders keep their data so long past a switch
+	Patience    string `toml:"patience"`     // a plan without progress for so long is abandoned
+}
+
+// pace reads the settings, with defaults for those that are missing.
+func (r Reshape) pace(longest time.Duration) (limits reshape.Limits, poll time.Duration, err error) {
+	read := func(key, text string, otherwise time.Duration) time.Duration {
+		if text == "" {
+			return otherwise
+		}
+		d, bad := time.ParseDuration(text)
+		if bad != nil || d <= 0 {
+			err = errors.Join(err, fmt.Errorf("reshape.%s %q is no time above 0", key, text))
+		}
+		return d
+	}
+	poll = read("poll", r.Poll, time.Second)
+	limits = reshape.Limits{Moves: r.Moves, PerServer: r.PerServer, Fresh: 3 * poll,
+		Linger: read("retire_after", r.RetireAfter, longest+time.Second), Patience: read("patience", r.Patience, 10*time.Minute)}
+	if limits.Moves == 0 {
+		limits.Moves = 4
+	}
+	if limits.PerServer == 0 {
+		limits.PerServer = 1
+	}
+	if limits.Moves < 0 || limits.PerServer < 0 {
+		err = errors.Join(err, errors.New("reshape.moves and reshape.per_server must be above 0"))
+	}
+	return limits, poll, err
+}
+
+// layouts hands what changes in the layouts to the core, one document after another.
+type layouts struct {
+	core *coordinator.Core
+	mu   sync.Mutex
+	last *catalog.Catalog
+}
+
+func (l *layouts) take(c *catalog.Catalog) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	news := c.News(l.last)
+	l.last = c
+	if len(news) > 0 {
+		l.core.Reshape(news, discovery.ServerID)
+		for _, n := range news {
+			version := uint64(0)
+			if n.Layout != nil {
+				version = n.Layout.Version()
+			}
+			log.Printf("event=layout_changed index=%s version=%d came=%d went=%d", n.Collection, version, len(n.Came), len(n.Went))
+		}
+	}
+}
+
+// listTee hands the list of servers to the core and to the steward.
+type listTee struct {
+	*coordinator.Core
+	steward *steward.Steward
+}
+
+// List hands on news of the list.
+func (t listTee) List(l coordinator.List) {
+	t.steward.List(l)
+	t.Core.List(l)
+}
+
+// newSteward makes the steward of the layouts; it works once the store is open.
+func (p *Program) newSteward() error {
+	longest := time.Duration(0)
+	for _, class := range p.cfg.module.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	limits, poll, err := p.cfg.Search.Reshape.pace(longest)
+	if err != nil {
+		return err
+	}
+	p.steward = steward.New(steward.Config{Store: stored{p}, Limits: limits, Poll: poll, Timeout: max(poll, time.Second),
+		Now: p.core.Now, Counters: p.count, Ended: func() (ended, refused int64) {
+			for i := range p.figures.Classes {
+				r := p.figures.Refused[i].Load()
+				ended, refused = ended+r+p.figures.Served[i].Load()+p.figures.Failed[i].Load(), refused+r
+			}
+			return ended, refused
+		}})
+	return nil
+}
+
+// stored is the store, which opens later than the steward is made.
+type stored struct{ p *Program }
+
+// Leads tells whether this instance leads.
+func (s stored) Leads() bool {
+	st := s.p.opened.Load()
+	return st != nil && st.Leads()
+}
+
+// Current is the document as this instance has it.
+func (s stored) Current() *catalog.Catalog { return s.p.opened.Load().Current() }
+
+// Update changes it.
+func (s stored) Update(change func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error) {
+	return s.p.opened.Load().Update(change)
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -24,6 +24,7 @@
 	"linkpass/internal/frame"
 	"linkpass/internal/handover"
 	"linkpass/internal/http1"
+	"linkpass/internal/layout/steward"
 	"linkpass/internal/link"
 	"linkpass/internal/opensearch"
 	"linkpass/internal/operator"
@@ -54,6 +55,9 @@
 	links   *link.Set
 	watcher *discovery.Watcher
 	store   *store.Store // nil: off
+	opened  atomic.Pointer[store.Store]
+	layouts *layouts
+	steward *steward.Steward // of the layouts; nil: no store
 	gate    operator.Gate
 	fronts  []*http1.Server
 	lns     []net.Listener // of the fronts, in their order
@@ -148,6 +152,9 @@
 		p.core.Run(ctx)
 	}()
 	all.Go(func() { p.watcher.Run(ctx, cfg.known) })
+	if p.steward != nil {
+		all.Go(func() { p.steward.Run(ctx) })
+	}
 	open := func(i int) { accepting.Go(func() { accept(p.fronts[i], p.lns[i]) }) }
 	p.mu.Lock()
 	young := p.young()
@@ -292,13 +299,21 @@
 		door := &operator.Door{Gate: &p.gate, Figures: p.figures}
 		p.door = &http1.Server{Name: "operator", Handler: door, Clock: p.core, Counters: p.count, MaxConns: operator.MaxCallers}
 	}
+	p.layouts = &layouts{core: p.core}
+	var list discovery.Core = p.core
+	if cfg.Search.Listen != "" && cfg.Search.Store.ID != "" {
+		if err := p.newSteward(); err != nil {
+			return nil, err
+		}
+		list = listTee{p.core, p.steward}
+	}
 	if !p.young() {
 		if err := p.search(); err != nil {
 			return nil, err
 		}
 	}
 	p.watcher = discovery.NewWatcher(cfg.discovery, &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds,
-		Cells: cfg.module.Cells, Clock: p.core.Clock}, p.core, p.count)
+		Cells: cfg.module.Cells, Clock: p.core.Clock}, list, p.count)
 	p.watcher.Seed = cfg.seed
 	p.links = link.NewSet(p.protocols())
 	p.core.Bind(p.links)
@@ -350,18 +365,23 @@
 		return nil
 	}
 	initial := &p.cfg.Search.Catalog
+	p.layouts.take(initial)
 	answers := opensearch.FixedSettings(initial)
 	if p.cfg.Search.Store.ID != "" {
 		c := p.cfg.Search.Store
-		c.Initial = initial
+		c.Initial, c.Changed = initial, p.layouts.take
 		if p.store, err = store.Open(c); err != nil {
 			return err
 		}
+		p.opened.Store(p.store)
 		p.follow(p.store.Current)
 		answers = opensearch.StoreSettings(p.store)
 	}
 	front := &opensearch.Front{Core: p.core, Shards: p.cfg.module.Shards, Counters: p.count, Catalog: *p.current.Load(),
 		Settings: answers, Prefix: strconv.FormatUint(p.cfg.seed, 16)}
+	if p.store != nil {
+		front.Changes = p.store
+	}
 	for i, name := range p.cfg.host.Classes {
 		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline})
 	}
@@ -430,3 +450,16 @@
 	signal.Notify(news, syscall.SIGUSR1, syscall.SIGHUP)
 	return news
 }
+
+// Addrs are the addresses that the fronts listen on: the platform's first, then the search front's.
+func (p *Program) Addrs() (out []net.Addr) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ln := range p.lns {
+		out = append(out, ln.Addr())
+	}
+	return out
+}
+
+// Counters are the program's own.
+func (p *Program) Counters() *counters.Set { return p.count }
--- /dev/null
+++ b/internal/layout/reshape/reshape.go
@@ -0,0 +1,310 @@
+// Package reshape is the controller of layouts: which step each plan takes next, and
+// what each server is to hold. It is pure: what holders report goes in, commands and
+// duties come out. All that must outlive it stands in the layouts; one that takes over in
+// the middle of any step goes on from there.
+package reshape
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"linkpass/internal/layout"
+)
+
+// Limits pace the changes.
+type Limits struct {
+	Moves     int           // plans that copy or wait for the switch at a time, in all
+	PerServer int           // the same that touch one server
+	Linger    time.Duration // from the switch until old holders may drop their data: the longest query, and what news takes
+	Patience  time.Duration // a plan whose copies make no progress for so long is abandoned
+	Fresh     time.Duration // a report older than this says nothing
+}
+
+// Holding is what a server has of a slice.
+type Holding struct {
+	Slice    layout.SliceID `json:"slice"`
+	Complete bool           `json:"complete"`
+	Records  int64          `json:"records"` // so far
+}
+
+// Report is what a server says of one index.
+type Report struct {
+	At       time.Duration // when it came
+	Version  uint64
+	Holdings []Holding
+}
+
+// Input is all that is known at a moment.
+type Input struct {
+	Now     time.Duration
+	Layouts map[string]*layout.Layout    // by index
+	Reports map[string]map[string]Report // by server, by index
+	Sound   map[string]bool              // servers on the list that take new work
+	Pressed bool                         // queries are refused for want of room
+}
+
+// Step is a command that the controller wants carried out, on the version it was made on.
+type Step struct {
+	Index   string
+	Command layout.Command
+	Why     string
+}
+
+// Source is where a server may copy some keys from.
+type Source struct {
+	Range   layout.Range   `json:"range"`
+	Servers []string       `json:"servers"`
+	Slice   layout.SliceID `json:"slice"`
+}
+
+// Task is one slice that a server is to hold.
+type Task struct {
+	Slice   layout.SliceID `json:"slice"`
+	Range   layout.Range   `json:"range"`
+	Sources []Source       `json:"sources,omitempty"`
+}
+
+// Duty is all that a server is to hold of one index. What is not in it may be dropped.
+type Duty struct {
+	Index   string `json:"index"`
+	Version uint64 `json:"version"`
+	Tasks   []Task `json:"tasks"`
+}
+
+// Controller decides. Its own memory is soft: since when it has seen what it waits for.
+type Controller struct {
+	limits Limits
+	seen   map[mark]progress
+}
+
+type mark struct {
+	index string
+	plan  layout.PlanID
+}
+
+type progress struct {
+	step    layout.Step
+	records int64
+	since   time.Duration
+}
+
+// New makes a controller.
+func New(l Limits) *Controller { return &Controller{limits: l, seen: map[mark]progress{}} }
+
+// Steps are the commands to carry out now, at most one for each index: each is made on
+// the version that it names, and the next look is at what came of it.
+func (c *Controller) Steps(in Input) (out []Step) {
+	c.forget(in)
+	busy, all := c.busy(in)
+	for _, index := range slices.Sorted(maps.Keys(in.Layouts)) {
+		l := in.Layouts[index]
+		for _, p := range l.Plans() {
+			if s, ok := c.step(in, index, p, busy, &all); ok {
+				s.Index, s.Command.At = index, l.Version()
+				out = append(out, s)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// forget drops what is remembered of plans that are open no more.
+func (c *Controller) forget(in Input) {
+	maps.DeleteFunc(c.seen, func(m mark, _ progress) bool {
+		l := in.Layouts[m.index]
+		return l == nil || !slices.ContainsFunc(l.Plans(), func(p layout.Plan) bool { return p.ID == m.plan })
+	})
+}
+
+// busy counts the plans under way, in all and by server.
+func (c *Controller) busy(in Input) (by map[string]int, all int) {
+	by = map[string]int{}
+	for _, l := range in.Layouts {
+		for _, p := range l.Plans() {
+			if p.Step != layout.Copying && p.Step != layout.BothHold {
+				continue
+			}
+			all++
+			for name := range touched(p) {
+				by[name]++
+			}
+		}
+	}
+	return by, all
+}
+
+// touched are the servers that a plan makes copy.
+func touched(p layout.Plan) map[string]bool {
+	out := map[string]bool{}
+	for _, s := range append(slices.Clone(p.From), p.To...) {
+		for _, name := range s.Holders {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// step is what a plan does next, if anything.
+func (c *Controller) step(in Input, index string, p layout.Plan, busy map[string]int, all *int) (Step, bool) {
+	advance := func(to layout.Step, holding map[layout.SliceID][]string, why string) (Step, bool) {
+		return Step{Command: layout.Command{Advance: &layout.Advance{Plan: p.ID, Step: to, Holding: holding}}, Why: why}, true
+	}
+	abandon := func(format string, args ...any) (Step, bool) {
+		why := fmt.Sprintf(format, args...)
+		return Step{Command: layout.Command{Abandon: &layout.Abandon{Plan: p.ID, Why: why}}, Why: why}, true
+	}
+	age := c.stuck(in, index, p)
+	switch p.Step {
+	case layout.Planned:
+		if s, ok := unsound(in, p); ok {
+			return abandon("no sound server is to hold slice %d", s)
+		}
+		if in.Pressed || *all >= c.limits.Moves {
+			return Step{}, false
+		}
+		for name := range touched(p) {
+			if busy[name] >= c.limits.PerServer {
+				return Step{}, false
+			}
+		}
+		*all++
+		for name := range touched(p) {
+			busy[name]++
+		}
+		return advance(layout.Copying, nil, "there is room for it")
+	case layout.Copying, layout.BothHold:
+		holding, ready := c.holding(in, index, p)
+		if s, ok := unsound(in, p); ok && age >= c.limits.Patience/patienceUnsound {
+			return abandon("no sound server is left to hold slice %d", s)
+		}
+		if age >= c.limits.Patience {
+			return abandon("no progress for %s", age.Round(time.Second))
+		}
+		if !ready || in.Pressed {
+			return Step{}, false
+		}
+		if p.Step == layout.Copying {
+			return advance(layout.BothHold, holding, "the new holders have it whole")
+		}
+		return advance(layout.Switched, holding, "the new holders have it whole still")
+	case layout.Switched:
+		if age >= c.limits.Linger {
+			return advance(layout.Retired, nil, "queries planned before the switch are over")
+		}
+	}
+	return Step{}, false
+}
+
+// patienceUnsound: a plan with nobody sound to hold a slice waits so much less for one.
+const patienceUnsound = 4
+
+// stuck is for how long a plan has been at its step without progress, as far as is known:
+// a controller that has just taken over begins anew.
+func (c *Controller) stuck(in Input, index string, p layout.Plan) time.Duration {
+	var records int64
+	for _, s := range p.To {
+		for _, name := range s.Holders {
+			for _, h := range in.Reports[name][index].Holdings {
+				if h.Slice == s.ID {
+					records += h.Records
+				}
+			}
+		}
+	}
+	m := mark{index, p.ID}
+	was, known := c.seen[m]
+	if !known || was.step != p.Step || records > was.records && p.Step != layout.Switched {
+		c.seen[m] = progress{p.Step, records, in.Now}
+		return 0
+	}
+	return in.Now - was.since
+}
+
+// unsound finds a new slice that no server which takes work is to hold.
+func unsound(in Input, p layout.Plan) (layout.SliceID, bool) {
+	for _, s := range p.To {
+		if !slices.ContainsFunc(s.Holders, func(name string) bool { return in.Sound[name] }) {
+			return s.ID, true
+		}
+	}
+	return 0, false
+}
+
+// holding lists the sound servers that hold each new slice whole by a fresh report. It is
+// ready once every sound server that is to hold one does, and each slice has one.
+func (c *Controller) holding(in Input, index string, p layout.Plan) (out map[layout.SliceID][]string, ready bool) {
+	out, ready = map[layout.SliceID][]string{}, true
+	for _, s := range p.To {
+		for _, name := range s.Holders {
+			if !in.Sound[name] {
+				continue
+			}
+			r, told := in.Reports[name][index]
+			whole := told && in.Now-r.At <= c.limits.Fresh && slices.ContainsFunc(r.Holdings, func(h Holding) bool {
+				return h.Slice == s.ID && h.Complete
+			})
+			if whole {
+				out[s.ID] = append(out[s.ID], name)
+			}
+			ready = ready && whole
+		}
+		ready = ready && len(out[s.ID]) > 0
+	}
+	return out, ready
+}
+
+// Duties are what each server is to hold of an index, by name: the slices that serve, those
+// that gave way and are not yet retired, and those that plans under way are to bring.
+func Duties(index string, l *layout.Layout) map[string]Duty {
+	out := map[string]Duty{}
+	add := func(s layout.Slice, sources func(name string) []Source) {
+		for _, name := range s.Holders {
+			d := out[name]
+			d.Index, d.Version = index, l.Version()
+			d.Tasks = append(d.Tasks, Task{Slice: s.ID, Range: s.Range, Sources: sources(name)})
+			out[name] = d
+		}
+	}
+	twins := func(s layout.Slice) func(string) []Source {
+		return func(name string) []Source {
+			others := slices.DeleteFunc(slices.Clone(s.Holders), func(o string) bool { return o == name })
+			if len(others) == 0 {
+				return nil
+			}
+			return []Source{{Range: s.Range, Servers: others, Slice: s.ID}}
+		}
+	}
+	for _, s := range l.Slices() {
+		add(s, twins(s))
+	}
+	for _, p := range l.Plans() {
+		switch p.Step {
+		case layout.Copying, layout.BothHold:
+			for _, s := range p.To {
+				add(s, func(string) []Source { return sources(s, p.From) })
+			}
+		case layout.Switched:
+			for _, s := range p.From {
+				add(s, twins(s))
+			}
+		}
+	}
+	for _, d := range out {
+		slices.SortFunc(d.Tasks, func(a, b Task) int { return cmp.Compare(a.Slice, b.Slice) })
+	}
+	return out
+}
+
+// sources cut what a new slice needs along the slices that hold it now.
+func sources(s layout.Slice, from []layout.Slice) (out []Source) {
+	for _, old := range from {
+		if both, some := old.Range.Overlap(s.Range); some {
+			out = append(out, Source{Range: both, Servers: old.Holders, Slice: old.ID})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/layout/reshape/reshape_test.go
@@ -0,0 +1,233 @@
+package reshape
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/layout"
+	_ "linkpass/internal/seeded"
+)
+
+var limits = Limits{Moves: 2, PerServer: 1, Linger: 3 * time.Second, Patience: 40 * time.Second, Fresh: 3 * time.Second}
+
+// world is a fleet that does its duty at some pace; it holds what it is told, copies from
+// those that have it, and forgets all when it dies.
+type world struct {
+	l     *layout.Layout
+	c     *Controller
+	now   time.Duration
+	has   map[string]map[layout.SliceID]int // 3: complete
+	sound map[string]bool
+	retry map[layout.Step]bool // steps at which the controller has died
+	press bool
+}
+
+func newWorld(n int) *world {
+	l, err := layout.Even(n, [][]string{{"a", "b"}, {"c", "d"}})
+	if err != nil {
+		panic(err)
+	}
+	w := &world{l: l, c: New(limits), has: map[string]map[layout.SliceID]int{}, sound: map[string]bool{}, retry: map[layout.Step]bool{}}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		w.has[name], w.sound[name] = map[layout.SliceID]int{}, true
+	}
+	for _, s := range l.Slices() {
+		for _, name := range s.Holders {
+			w.has[name][s.ID] = 3
+		}
+	}
+	return w
+}
+
+func (w *world) input() Input {
+	in := Input{Now: w.now, Layouts: map[string]*layout.Layout{"i": w.l}, Sound: w.sound, Pressed: w.press, Reports: map[string]map[string]Report{}}
+	for name, has := range w.has {
+		if !w.sound[name] {
+			continue
+		}
+		r := Report{At: w.now}
+		for id, n := range has {
+			r.Holdings = append(r.Holdings, Holding{Slice: id, Complete: n >= 3, Records: int64(n)})
+		}
+		in.Reports[name] = map[string]Report{"i": r}
+	}
+	return in
+}
+
+// second lets a second pass: servers do their duty, the controller decides.
+func (w *world) second(t interface{ Fatalf(string, ...any) }) {
+	w.now += time.Second
+	duties := Duties("i", w.l)
+	for name, has := range w.has {
+		if !w.sound[name] {
+			continue
+		}
+		for id := range has {
+			if !slices.ContainsFunc(duties[name].Tasks, func(t Task) bool { return t.Slice == id }) {
+				delete(has, id)
+			}
+		}
+		for _, task := range duties[name].Tasks {
+			fed := has[task.Slice] < 3
+			for _, src := range task.Sources { // somebody must have each piece
+				fed = fed && slices.ContainsFunc(src.Servers, func(s string) bool { return w.sound[s] && w.has[s][src.Slice] >= 3 })
+			}
+			if fed && len(task.Sources) > 0 {
+				has[task.Slice]++
+			}
+		}
+	}
+	for _, s := range w.c.Steps(w.input()) {
+		next, err := w.l.Apply(s.Command)
+		if err != nil {
+			t.Fatalf("%+v: %v", s, err)
+		}
+		w.l = next
+	}
+}
+
+// Every plan ends, whatever dies and however often the controller is replaced, and as long as
+// one sound server of each range lives no range is left without one that has the data.
+func TestEveryPlanEndsAndNoRangeIsLost(t *testing.T) {
+	ends := map[layout.Step]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(4)
+		orders := 0
+		for range 120 {
+			all := w.l.Slices()
+			i := rapid.IntRange(0, len(all)-1).Draw(t, "slice")
+			var o layout.Order
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			case 0:
+				o = layout.Order{Kind: layout.Split, Slices: []layout.SliceID{all[i].ID}, Into: 2}
+			case 1:
+				o = layout.Order{Kind: layout.Merge, Slices: []layout.SliceID{all[i].ID, all[(i+1)%len(all)].ID}}
+			case 2:
+				to := rapid.SampledFrom([][]string{{"e", "f"}, {"a", "e"}, {"c", "d"}, {"f"}}).Draw(t, "to")
+				o = layout.Order{Kind: layout.Move, Slices: []layout.SliceID{all[i].ID}, To: [][]string{to}}
+			case 3:
+				w.c = New(limits) // the controller dies; another takes over
+			case 4:
+				w.press = !w.press
+			case 5: // one of e and f, which are sources of nothing that others have not, dies or comes back empty
+				name := rapid.SampledFrom([]string{"e", "f"}).Draw(t, "name")
+				if w.sound[name] && !needed(w, name) {
+					w.sound[name], w.has[name] = false, map[layout.SliceID]int{}
+				} else {
+					w.sound[name] = true
+				}
+			}
+			if o.Kind != "" {
+				if next, err := w.l.Apply(layout.Command{Order: &o}); err == nil {
+					w.l, orders = next, orders+1
+				}
+			}
+			w.second(t)
+			for _, s := range w.l.Slices() {
+				if !slices.ContainsFunc(s.Holders, func(n string) bool { return w.sound[n] && w.has[n][s.ID] >= 3 }) {
+					t.Fatalf("version %d: nobody has slice %d, %v", w.l.Version(), s.ID, s.Holders)
+				}
+			}
+			if b, n := w.c.busy(w.input()); n > limits.Moves || slices.Max(append([]int{0}, values(b)...)) > limits.PerServer {
+				t.Fatalf("%d plans under way, %v", n, b)
+			}
+		}
+		w.press = false
+		for range 300 {
+			w.second(t)
+		}
+		if open := w.l.Plans(); len(open) > 0 {
+			t.Fatalf("still open after five minutes: %+v", open)
+		}
+		for _, p := range w.l.Past() {
+			ends[p.Step]++
+		}
+	})
+	if ends[layout.Retired] == 0 || ends[layout.Abandoned] == 0 {
+		t.Errorf("plans ended as %v", ends)
+	}
+}
+
+// needed tells whether a server is the last that has a serving slice.
+func needed(w *world, name string) bool {
+	for _, s := range w.l.Slices() {
+		if slices.Contains(s.Holders, name) && !slices.ContainsFunc(s.Holders, func(n string) bool {
+			return n != name && w.sound[n] && w.has[n][s.ID] >= 3
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+func values(m map[string]int) (out []int) {
+	for _, n := range m {
+		out = append(out, n)
+	}
+	return out
+}
+
+// The controller is killed after each step of a plan in turn; another finishes it.
+func TestAControllerKilledAfterEachStep(t *testing.T) {
+	w := newWorld(2)
+	next, err := w.l.Apply(layout.Command{Order: &layout.Order{Kind: layout.Move, Slices: []layout.SliceID{layout.FirstSlice}, To: [][]string{{"e", "f"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.l = next
+	var steps []string
+	last := layout.Step("")
+	for range 30 {
+		w.second(t)
+		if p, ok := w.l.Plan(1); ok && p.Step != last {
+			steps, last = append(steps, string(p.Step)), p.Step
+			w.c = New(limits)
+		}
+	}
+	if want := "[copying both_hold switched retired]"; fmt.Sprint(steps) != want {
+		t.Errorf("went through %v, want %s", steps, want)
+	}
+	if s, _ := w.l.Find(0); !slices.Equal(s.Holders, []string{"e", "f"}) {
+		t.Errorf("serves %+v", s)
+	}
+}
+
+// A holder that dies, or is told to drain, between copy and switch is left out of the new
+// slice; without any other the plan is abandoned and the old holders go on.
+func TestADrainInTheMiddleOfAMove(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		w := newWorld(2)
+		w.l, _ = w.l.Apply(layout.Command{Order: &layout.Order{Kind: layout.Move, Slices: []layout.SliceID{layout.FirstSlice}, To: [][]string{{"e", "f"}}}})
+		for p, _ := w.l.Plan(1); p.Step != layout.BothHold; p, _ = w.l.Plan(1) {
+			w.second(t)
+		}
+		w.sound["e"], w.sound["f"] = false, !both
+		for range 60 {
+			w.second(t)
+		}
+		p, _ := w.l.Plan(1)
+		s, _ := w.l.Find(0)
+		if both && (p.Step != layout.Abandoned || !slices.Equal(s.Holders, []string{"a", "b"})) {
+			t.Errorf("with nobody left: %s, served by %v", p.Step, s.Holders)
+		}
+		if !both && (p.Step != layout.Retired || !slices.Equal(s.Holders, []string{"f"})) {
+			t.Errorf("with one left: %s, served by %v", p.Step, s.Holders)
+		}
+	}
+}
+
+func TestPressureHoldsForAWhile(t *testing.T) {
+	p := Pressure{Share: 0.05, Quiet: 5 * time.Second, Least: 10}
+	for i, look := range []struct {
+		ended, refused int64
+		want           bool
+	}{{100, 0, false}, {200, 4, false}, {300, 20, true}, {305, 20, true}, {400, 20, true}, {900, 20, false}} {
+		if got := p.Look(time.Duration(2*i)*time.Second, look.ended, look.refused); got != look.want {
+			t.Errorf("look %d: %v", i, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/layout/steward/steward.go
@@ -0,0 +1,318 @@
+// Package steward is the shell of the layouts' controller: it tells servers their duties
+// and hears what they hold, over HTTP, and carries the controller's steps into the store.
+// It decides nothing, and works only where its instance leads the store.
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"linkpass"
+	"linkpass/internal/catalog"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
+	"linkpass/internal/layout"
+	"linkpass/internal/layout/reshape"
+	"linkpass/internal/store"
+)
+
+// Path is where a league server takes its duties and says what it holds.
+const Path = "/_layout"
+
+// Call is the body of a call to a server; Reply is its answer. Both may be repeated freely.
+type Call struct {
+	Duties []reshape.Duty `json:"duties"`
+}
+
+// Reply is what a server holds, by index.
+type Reply struct {
+	Indices map[string]Held `json:"indices"`
+}
+
+// Held is what a server holds of one index, and the version it knows.
+type Held struct {
+	Version  uint64            `json:"version"`
+	Holdings []reshape.Holding `json:"holdings"`
+}
+
+// Store is the replicated document.
+type Store interface {
+	Current() *catalog.Catalog
+	Leads() bool
+	Update(func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error)
+}
+
+// Config sets up a steward.
+type Config struct {
+	Store    Store
+	Limits   reshape.Limits
+	Poll     time.Duration // between two rounds of calls
+	Timeout  time.Duration // of one call
+	Now      func() time.Duration
+	Ended    func() (ended, refused int64) // queries so far
+	Counters *counters.Set
+}
+
+const (
+	callsAtOnce = 16
+	maxReply    = 16 << 20 // bytes: 100,000 holdings of a server
+	pressedFrom = 0.02     // of queries refused
+	quietFor    = 5        // polls
+	tellFrom    = 20       // queries ended
+)
+
+// Steward is the shell. Its List may be called from anywhere.
+type Steward struct {
+	cfg Config
+
+	mu      sync.Mutex
+	members map[string]coordinator.Member
+
+	// Owned by Run.
+	controller *reshape.Controller
+	pressure   reshape.Pressure
+	reports    map[string]map[string]reshape.Report
+	failed     map[string]time.Duration // when a server's last call failed; absent: it did not
+	lines      map[string]*line
+	problems   counters.Lines
+}
+
+// line is the connection to a server, kept between calls.
+type line struct {
+	addr string
+	nc   net.Conn
+	r    *http1.Reader
+}
+
+// New makes a steward.
+func New(c Config) *Steward {
+	return &Steward{cfg: c, members: map[string]coordinator.Member{}, lines: map[string]*line{},
+		pressure: reshape.Pressure{Share: pressedFrom, Quiet: quietFor * c.Poll, Least: tellFrom}}
+}
+
+// List follows the list of servers.
+func (s *Steward) List(l coordinator.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Mode != linkpass.ListDelta {
+		clear(s.members)
+	}
+	for _, m := range l.Members {
+		if m.State == linkpass.Gone {
+			delete(s.members, m.Name)
+		} else {
+			s.members[m.Name] = m
+		}
+	}
+}
+
+// Run works until the context ends.
+func (s *Steward) Run(ctx context.Context) {
+	tick := time.NewTicker(s.cfg.Poll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.rest()
+			return
+		case <-tick.C:
+		}
+		if !s.cfg.Store.Leads() {
+			s.rest()
+			continue
+		}
+		if s.controller == nil {
+			log.Printf("event=reshape_leads")
+			s.controller = reshape.New(s.cfg.Limits)
+			s.reports, s.failed = map[string]map[string]reshape.Report{}, map[string]time.Duration{}
+		}
+		s.round(ctx)
+	}
+}
+
+// rest gives up what only a leader needs.
+func (s *Steward) rest() {
+	for _, l := range s.lines {
+		l.close()
+	}
+	clear(s.lines)
+	s.controller = nil
+}
+
+// round calls every server once, then takes the steps that the controller wants.
+func (s *Steward) round(ctx context.Context) {
+	c := s.cfg.Store.Current()
+	layouts := map[string]*layout.Layout{}
+	for name := range c.Indices {
+		if l := c.Layout(name); l != nil {
+			layouts[name] = l
+		}
+	}
+	if len(layouts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	members := maps.Clone(s.members)
+	s.mu.Unlock()
+	s.callAll(ctx, members, duties(layouts))
+	in := reshape.Input{Now: s.cfg.Now(), Layouts: layouts, Reports: s.reports, Sound: map[string]bool{}}
+	for name, m := range members {
+		_, failed := s.failed[name]
+		in.Sound[name] = m.State == linkpass.Ready && !failed
+	}
+	in.Pressed = s.pressure.Look(in.Now, first(s.cfg.Ended()), second(s.cfg.Ended()))
+	for _, step := range s.controller.Steps(in) {
+		s.take(step)
+	}
+}
+
+func first(a, _ int64) int64  { return a }
+func second(_, b int64) int64 { return b }
+
+// duties are what each server is to hold of all indices.
+func duties(layouts map[string]*layout.Layout) map[string][]reshape.Duty {
+	out := map[string][]reshape.Duty{}
+	for _, index := range slices.Sorted(maps.Keys(layouts)) {
+		for name, d := range reshape.Duties(index, layouts[index]) {
+			out[name] = append(out[name], d)
+		}
+	}
+	return out
+}
+
+// callAll tells every listed server its duties; one that holds nothing is told so too.
+func (s *Steward) callAll(ctx context.Context, members map[string]coordinator.Member, duties map[string][]reshape.Duty) {
+	type heard struct {
+		name  string
+		reply Reply
+		line  *line
+		err   error
+	}
+	results := make(chan heard, len(members))
+	places := make(chan struct{}, callsAtOnce)
+	for name, l := range s.lines {
+		if _, listed := members[name]; !listed {
+			l.close()
+			delete(s.lines, name)
+			delete(s.reports, name)
+			delete(s.failed, name)
+		}
+	}
+	for name, m := range members {
+		old := s.lines[name]
+		if old != nil && old.addr != m.Addr {
+			old.close()
+			old = nil
+		}
+		go func() { // ends within the call's time
+			places <- struct{}{}
+			defer func() { <-places }()
+			l, reply, err := s.call(ctx, old, m.Addr, Call{Duties: duties[name]})
+			results <- heard{name, reply, l, err}
+		}()
+	}
+	for range members {
+		h := <-results
+		if h.line == nil {
+			delete(s.lines, h.name)
+		} else {
+			s.lines[h.name] = h.line
+		}
+		if h.err != nil {
+			s.failed[h.name] = s.cfg.Now()
+			s.cfg.Counters.Add("reshape_calls_failed", 1)
+			s.problems.Printf("event=duty_failed server=%s err=%q", h.name, h.err)
+			continue
+		}
+		delete(s.failed, h.name)
+		reports := map[string]reshape.Report{}
+		for index, held := range h.reply.Indices {
+			reports[index] = reshape.Report{At: s.cfg.Now(), Version: held.Version, Holdings: held.Holdings}
+		}
+		s.reports[h.name] = reports
+	}
+}
+
+// call makes one call on a server's connection, or on a new one.
+func (s *Steward) call(ctx context.Context, l *line, addr string, c Call) (*line, Reply, error) {
+	var reply Reply
+	body, err := json.Marshal(c)
+	if err != nil {
+		return l, reply, fmt.Errorf("steward: %w", err)
+	}
+	if l == nil {
+		d := net.Dialer{Timeout: s.cfg.Timeout}
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, reply, fmt.Errorf("steward: %w", err)
+		}
+		l = &line{addr, nc, http1.NewReader(nc, maxReply)}
+	}
+	// The deadline is the connection's own: a call of the background must not stand among the queries'.
+	err = l.nc.SetDeadline(time.Now().Add(s.cfg.Timeout))
+	if err == nil {
+		err = http1.WriteRequest(l.nc, "PUT", Path, "league-server", nil, body)
+	}
+	var res *http1.Response
+	if err == nil {
+		res, err = l.r.Response()
+	}
+	if err == nil && res.Status != 200 {
+		err = fmt.Errorf("status %d", res.Status)
+	}
+	if err == nil {
+		err = json.Unmarshal(res.Body, &reply)
+	}
+	if err != nil {
+		l.close()
+		return nil, reply, fmt.Errorf("steward: PUT %s: %w", Path, err)
+	}
+	return l, reply, nil
+}
+
+func (l *line) close() {
+	if l != nil {
+		_ = l.nc.Close()
+	}
+}
+
+// take carries one step into the store. One that came too late is dropped: the next round
+// looks at what holds then.
+func (s *Steward) take(step reshape.Step) {
+	_, err := s.cfg.Store.Update(func(c *catalog.Catalog) (*catalog.Catalog, error) {
+		l := c.Layout(step.Index)
+		if l == nil {
+			return nil, fmt.Errorf("%w: index %q", layout.ErrUnknown, step.Index)
+		}
+		next, err := l.Apply(step.Command)
+		if err != nil || next == l {
+			return c, err
+		}
+		return c.WithLayout(step.Index, next), nil
+	})
+	what, plan := "", layout.PlanID(0)
+	if a := step.Command.Advance; a != nil {
+		what, plan = string(a.Step), a.Plan
+	} else if a := step.Command.Abandon; a != nil {
+		what, plan = string(layout.Abandoned), a.Plan
+	}
+	switch {
+	case err == nil:
+		s.cfg.Counters.Add("reshape_"+what, 1)
+		log.Printf("event=reshape_step index=%s plan=%d step=%s why=%q", step.Index, plan, what, step.Why)
+	case errors.Is(err, layout.ErrVersion), errors.Is(err, store.ErrConflict):
+		s.cfg.Counters.Add("reshape_conflicts", 1)
+	default:
+		s.cfg.Counters.Add("reshape_steps_failed", 1)
+		s.problems.Printf("event=reshape_step_failed index=%s plan=%d step=%s err=%q", step.Index, plan, what, err)
+	}
+}
