A stand-in fleet and a lab: slices reshaped under load, side by side with a still layout

internal/standin is a seeded fleet on the loopback: servers that hold, copy and lose ranges, stall, die, drain and lie, their discovery, and the truth about every record. linkpass-lab run reshape loads whole coordinators on it and judges every answer.

--- /dev/null
+++ b/cmd/linkpass-lab/main.go
@@ -0,0 +1,97 @@
+// Linkpass-lab runs experiments on a stand-in fleet, and the fleet itself for trying the
+// program by hand. All of it stays on the loopback.
+package main
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"linkpass/internal/lab"
+)
+
+type commands struct {
+	Run struct {
+		Reshape reshapeCommand `cmd:"" help:"Reshape slices under load, against a still layout and against refusing moved parts."`
+	} `cmd:"" help:"Run an experiment; its last line is figures, and it exits 1 if a rule broke."`
+	Fleet fleetCommand `cmd:"" help:"Run a stand-in fleet and its discovery in the foreground, and print how to start a coordinator against it."`
+}
+
+// common is what every experiment takes.
+type common struct {
+	Seed    uint64 `help:"First seed." default:"1"`
+	Seeds   int    `help:"How many seeds, from the first on." default:"1"`
+	Seconds int    `help:"Length of each run." default:"20"`
+	Out     string `help:"Folder for tables and charts; none are written without."`
+	Log     string `help:"File for the coordinators' log lines; dropped without."`
+}
+
+func (c common) seeds() (out []uint64) {
+	for i := range c.Seeds {
+		out = append(out, c.Seed+uint64(i))
+	}
+	return out
+}
+
+// logs sends the coordinators' lines where they are wanted.
+func (c common) logs() error {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	log.SetOutput(io.Discard)
+	if c.Log == "" {
+		return nil
+	}
+	if err := os.MkdirAll(filepath.Dir(c.Log), 0o755); err != nil {
+		return err
+	}
+	f, err := os.Create(c.Log)
+	if err != nil {
+		return err
+	}
+	log.SetOutput(f)
+	return nil
+}
+
+type reshapeCommand struct {
+	common
+	Servers int           `help:"League servers." default:"12"`
+	Rate    float64       `help:"Queries a second in each run." default:"40"`
+	Every   time.Duration `help:"Between two changes of each index." default:"2s"`
+}
+
+// Run runs the experiment.
+func (c *reshapeCommand) Run() error {
+	if err := c.logs(); err != nil {
+		return err
+	}
+	ok, err := lab.Reshape(lab.ReshapeConfig{Seeds: c.seeds(), Seconds: c.Seconds, Servers: c.Servers, Rate: c.Rate, Every: c.Every, Out: c.Out})
+	if err == nil && !ok {
+		err = fmt.Errorf("a rule broke")
+	}
+	return err
+}
+
+type fleetCommand struct {
+	Servers   int    `help:"League servers." default:"6"`
+	Slices    int    `help:"Slices of the index at the start." default:"4"`
+	Records   int    `help:"Records of the league." default:"500"`
+	Discovery string `help:"Where discovery listens." default:"127.0.0.1:9500"`
+	Search    string `help:"Where the coordinator's search front is to listen." default:"127.0.0.1:9200"`
+	Dir       string `help:"Folder for the coordinator's files." default:"fleet"`
+	Seed      uint64 `help:"Seed." default:"1"`
+}
+
+// Run runs the fleet until it is interrupted.
+func (c *fleetCommand) Run() error {
+	return lab.Fleet(lab.FleetConfig{Servers: c.Servers, Slices: c.Slices, Records: c.Records, Discovery: c.Discovery, Search: c.Search, Dir: c.Dir, Seed: c.Seed})
+}
+
+func main() {
+	ctx := kong.Parse(&commands{}, kong.Name("linkpass-lab"), kong.UsageOnError(),
+		kong.Description("Experiments on a stand-in fleet, on the loopback."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -179,6 +179,8 @@
 	Counters     *counters.Set
 	Figures      *counters.Figures
 	Mailbox      int // messages that wait at most
+	// KeepPlans leaves parts whose slice has moved as they are: they fail.
+	KeepPlans bool
 }
 
 // Core is the actor round the module.
@@ -211,6 +213,7 @@
 	warm     func() // waits for the probes that are out; nil: nobody does
 	layouts  map[string]*ground
 	grounds  int
+	keep     bool // no part is planned anew
 }
 
 type query struct {
@@ -283,6 +286,7 @@
 		epoch:   time.Now().Add(-originAge),
 		queries: map[linkpass.RequestID]*query{}, parts: map[linkpass.RequestID]*part{},
 		attempts: map[AttemptID]*attempt{}, probes: map[uint64]*probe{}, layouts: map[string]*ground{},
+		keep: c.KeepPlans,
 	}, nil
 }
 
--- a/internal/coordinator/moving.go
+++ b/internal/coordinator/moving.go
@@ -195,6 +195,9 @@
 	if c.queries[q.id] == nil {
 		return out, replan.Answered
 	}
+	if c.keep {
+		return out, replan.Unknown
+	}
 	left := q.ends - c.Now()
 	standing := make([]replan.Part, len(q.parts))
 	at := 0
--- a/internal/daemon/reshape.go
+++ b/internal/daemon/reshape.go
@@ -21,6 +21,7 @@
 	Poll        string `toml:"poll"`         // between two calls to every server
 	RetireAfter string `toml:"retire_after"` // old holders keep their data so long past a switch
 	Patience    string `toml:"patience"`     // a plan without progress for so long is abandoned
+	Replan      *bool  `toml:"replan"`       // whether a part whose slice has moved is planned anew; true
 }
 
 // pace reads the settings, with defaults for those that are missing.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -281,7 +281,8 @@
 	}
 	cfg.module.MaxOpen = p.share.Open
 	p.core, err = coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
-		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize})
+		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize,
+		KeepPlans: cfg.Search.Reshape.Replan != nil && !*cfg.Search.Reshape.Replan})
 	if err != nil {
 		return nil, err
 	}
