Lint holds the pure packages to it; a start that fails no longer panics

A start whose door, front or store could not be opened returned nil into its own clean-up and died with a nil pointer instead of its one line; it gives back now what it had taken, the store included (found when two worlds of the lab took one port). PURE and STATE in the Makefile list the packages that decide and those that hold state.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,11 @@
 POLICY = router.go window.go
 POLICY_LINES = 940
 
+# Packages that decide and touch no I/O, clock or goroutine; lint holds them to it.
+PURE = . internal/layout internal/layout/coverage internal/layout/replan internal/layout/reshape
+# Packages that hold state and do I/O.
+STATE = internal/catalog internal/coordinator internal/layout/steward internal/store
+
 .PHONY: build test lint run
 
 build:
@@ -15,6 +20,11 @@
 		echo "the policy files have $$lines non-blank lines; $(POLICY_LINES) is the ceiling"; exit 1; fi
 	@long=$$(expand -t4 $(POLICY) | awk 'length > 110 { print NR }'); if [ -n "$$long" ]; then \
 		echo "policy lines over 110 characters: $$long"; exit 1; fi
+	@for p in $(PURE); do \
+		bad=$$(go list -f '{{join .Imports "\n"}}' ./$$p | grep -E '^(net|os|syscall|io/ioutil)(/|$$)'); \
+		files=$$(ls $$p/*.go | grep -v _test.go); \
+		bad="$$bad$$(grep -nE '\btime\.(Now|Since|Until|After|AfterFunc|Sleep|Tick|NewTimer|NewTicker)\b|^[[:space:]]*go (func|[A-Za-z_.]+\()' $$files)"; \
+		if [ -n "$$bad" ]; then echo "$$p is listed as pure: $$bad"; exit 1; fi; done
 	@head -n 1 router.go | grep -q 'api\.go' || { echo "router.go must point to api.go first"; exit 1; }
 
 test: lint build
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,12 +1,15 @@
 package catalog
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"linkpass/internal/layout"
+
 	_ "linkpass/internal/seeded"
 )
 
@@ -58,3 +61,46 @@
 		_, _ = ParseTime(rapid.String().Draw(t, "time"))
 	})
 }
+
+// Layouts go along with the document: spread once, shared where they did not change, told as news, and
+// changed by steps only.
+func TestLayoutsOfADocument(t *testing.T) {
+	one, err := Parse([]byte(`{"search":{},"indices":{"a":{"class":"x","spread":{"slices":3,"sets":[["s"]]}},"b":{"class":"x","spread":{"slices":1,"sets":[["t"]]}}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if news := one.News(nil); len(news) != 2 || len(news[0].Came) != 3 {
+		t.Errorf("at first: %+v", news)
+	}
+	next, err := one.Layout("a").Apply(layout.Command{Order: &layout.Order{Kind: layout.Split, Slices: []layout.SliceID{layout.FirstSlice}, Into: 2}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	two := one.WithLayout("a", next)
+	two.Revision = 1
+	data, err := json.Marshal(two)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := ParseAfter(data, one)
+	if err != nil || back.Layout("b") != one.Layout("b") || back.Layout("a").Version() != 2 || one.Layout("a").Version() != 1 {
+		t.Errorf("read back: %v", err)
+	}
+	if news := back.News(one); len(news) != 1 || news[0].Collection != "a" || len(news[0].Came)+len(news[0].Went) != 0 {
+		t.Errorf("a plan moves no slice yet: %+v", news)
+	}
+	gone, err := back.Patch([]byte(`{"indices":{"b":null}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if news := gone.News(back); len(news) != 1 || news[0].Layout != nil || len(news[0].Went) != 1 {
+		t.Errorf("an index that goes: %+v", news)
+	}
+	for _, bad := range []string{`{"indices":{"a":{"layout":{"version":9}}}}`, `{"indices":{"c":{"class":"x","spread":{"slices":0,"sets":[["s"]]}}}}`,
+		`{"indices":{"c":{"class":"x","slices":[1],"spread":{"slices":1,"sets":[["s"]]}}}}`,
+		`{"indices":{"c":{"class":"x","layout":{"version":1,"slices":[{"id":1048576,"range":"0-ff","epoch":1,"holders":["s"]}]}}}}`} {
+		if _, err := back.Patch([]byte(bad)); !errors.Is(err, ErrInvalid) {
+			t.Errorf("took %s: %v", bad, err)
+		}
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -263,14 +263,18 @@
 		log.Printf("event=handover_failed err=%q", err) // one that runs alone does without
 		p.keepTo(handover.Share{Processes: 1, Open: cfg.module.MaxOpen})
 	}
+	made := p // a return of nil must not take from the clean-up what it cleans up
 	defer func() {
 		if err != nil {
-			for _, ln := range append(p.lns, p.doorLn) {
+			for _, ln := range append(made.lns, made.doorLn) {
 				if ln != nil {
 					_ = ln.Close()
 				}
 			}
-			p.post.Close()
+			if made.store != nil {
+				_ = made.store.Close()
+			}
+			made.post.Close()
 		}
 	}()
 	p.mu.Lock()
--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -648,3 +648,33 @@
 	want["app.league_servers_known"], want["app.league_servers_excluded"] = 5, 1
 	hold("after a drain")
 }
+
+// A start that fails gives back what it had taken, and says why: it used to end in a panic.
+func TestAStartThatFailsLeavesNothing(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	t.Setenv("TMPDIR", t.TempDir())
+	cfg := Config{name: "n0", listen: "127.0.0.1:0", operator: taken.Addr().String(), discovery: "127.0.0.1:1", seed: 5, memoryMB: 192, sockets: 1024}
+	if cfg.module, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
+		t.Fatal(err)
+	}
+	if p, err := Start(cfg); err == nil || p != nil || !strings.Contains(err.Error(), "operators' door") {
+		t.Fatalf("started on a taken address: %v", err)
+	}
+	cfg.operator = ""
+	p, err := Start(cfg) // the handover's place was given back
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.young() {
+		t.Error("the failed start still counts as a process")
+	}
+	term, stop := context.WithCancel(context.Background())
+	stop()
+	if err := p.Serve(term, nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -68,7 +68,7 @@
 	for _, s := range f.Servers {
 		fmt.Fprintf(&t, "[servers.%s]\nprotocol = \"search\"\n", s.Name)
 	}
-	raft, err := freePort()
+	raft, err := freePort("127.0.0.1")
 	if err != nil {
 		return err
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"linkpass/internal/daemon"
@@ -87,9 +88,18 @@
 		sh.maxOpen, strings.Join(floors, ","), sh.nodes, strings.Join(list, ","), max(1, sh.work.Cold.Milliseconds()), max(0.01, sh.work.ColdShare))
 }
 
-// freePort finds a port that is free now.
-func freePort() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// worlds counts the worlds of this process.
+var worlds atomic.Uint32
+
+// host is a loopback address of a node's own: a port found free there is not taken by
+// another world before it is used.
+func host(world uint32, node int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, world%250, node+1)
+}
+
+// freePort finds a port of a host that is free now.
+func freePort(host string) (string, error) {
+	ln, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return "", fmt.Errorf("lab: %w", err)
 	}
@@ -118,12 +128,12 @@
 	for _, c := range classes {
 		w.fleet.Give(c.index, first)
 	}
-	raft, web := make([]string, sh.nodes), make([]string, sh.nodes)
+	raft, web, number := make([]string, sh.nodes), make([]string, sh.nodes), worlds.Add(1)
 	for i := range raft {
-		if raft[i], err = freePort(); err != nil {
+		if raft[i], err = freePort(host(number, i)); err != nil {
 			return w, err
 		}
-		if web[i], err = freePort(); err != nil {
+		if web[i], err = freePort(host(number, i)); err != nil {
 			return w, err
 		}
 	}
--- /dev/null
+++ b/internal/opensearch/layouts_test.go
@@ -0,0 +1,169 @@
+package opensearch
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/end"
+	"linkpass/internal/layout"
+	"linkpass/internal/peer"
+)
+
+// changes stands in for the store.
+type changes struct{ now *catalog.Catalog }
+
+func (c *changes) Update(change func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error) {
+	next, err := change(c.now)
+	if err == nil {
+		c.now = next
+	}
+	return next, err
+}
+
+// movable is a front with an index of four slices that can move.
+func movable(t *testing.T, k *core) (*Front, *changes) {
+	c, err := catalog.Parse([]byte(`{"search":{},"indices":{"players":{"class":"team-lookup","spread":{"slices":4,"sets":[["a","b"],["c","d"]]}},"fixed":{"class":"team-lookup","slices":[0]}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := &changes{c}
+	f := front(k)
+	f.Catalog, f.Changes = func() *catalog.Catalog { return store.now }, store
+	return f, store
+}
+
+const first = uint64(layout.FirstSlice)
+
+// A search is handed on as the keys that it wants, whatever slices they lie in now; what is missing
+// is told by its ranges.
+func TestASearchOfALayoutWantsKeys(t *testing.T) {
+	halves := layout.All.Cut(2)
+	key := layout.Key("li")
+	for target, want := range map[string][]layout.Range{
+		"/players/_search":            {layout.All},
+		"/players/_search?routing=li": {{First: key, Last: key}},
+		"/players/_search?preference=_ranges:" + halves[0].String():              {halves[0]},
+		fmt.Sprintf("/players/_search?preference=_shards:%d,%d", first+1, first): {halves[0]},
+	} {
+		k := &core{answer: func(q coordinator.Query) coordinator.Answer {
+			return coordinator.Answer{Verdict: coordinator.Answered, Layout: 7, Missing: []coordinator.Miss{
+				{Last: end.Moved, Tried: true, Ask: &coordinator.Ask{Slice: 9, Range: halves[1], Version: 7}}}}
+		}}
+		f, _ := movable(t, k)
+		res, _ := ask(f, "POST", target, ``)
+		if len(k.queries) != 1 || fmt.Sprint(k.queries[0].Wanted) != fmt.Sprint(want) || len(k.queries[0].Parts) != 0 {
+			t.Errorf("%s wants %v", target, k.queries)
+		}
+		for _, s := range []string{`"failed":1`, `"range":"` + halves[1].String(), `"layout_version":7`, "ended as moved"} {
+			if !strings.Contains(string(res.Body), s) {
+				t.Errorf("%s lacks %s", res.Body, s)
+			}
+		}
+		if res.Header.Get(HeaderVersion) != "7" {
+			t.Errorf("headers %v", res.Header)
+		}
+	}
+	f, _ := movable(t, &core{})
+	for _, target := range []string{"/players/_search?preference=_shards:1", "/players/_search?preference=_ranges:9-1", "/fixed/_search?routing=a"} {
+		if res, _ := ask(f, "POST", target, ``); res.Status != 404 && res.Status != 400 {
+			t.Errorf("%s: %d", target, res.Status)
+		}
+	}
+}
+
+// Orders are taken whole or not at all, an impossible one names what it would break, and a dry run
+// changes nothing.
+func TestReroute(t *testing.T) {
+	f, store := movable(t, &core{})
+	split := fmt.Sprintf(`{"split":{"index":"players","shard":%d,"into":3}}`, first)
+	order := func(params string, commands ...string) (int, string) {
+		res, _ := ask(f, "POST", "/_cluster/reroute"+params, `{"commands":[`+strings.Join(commands, ",")+`]}`)
+		return res.Status, string(res.Body)
+	}
+	for _, c := range []struct{ params, commands, says string }{
+		{"", split + "," + split, layout.ErrOverlap.Error()},
+		{"", fmt.Sprintf(`{"merge":{"index":"players","shards":[%d,%d]}}`, first, first+2), layout.ErrCover.Error()},
+		{"", fmt.Sprintf(`{"move":{"index":"players","shard":%d,"to_nodes":[[]]}}`, first), layout.ErrHolder.Error()},
+		{"", fmt.Sprintf(`{"move":{"index":"players","shard":%d,"from_node":"z","to_node":"c"}}`, first), "not on node"},
+		{"", `{"split":{"index":"players","shard":3}}`, layout.ErrUnknown.Error()},
+		{"", `{"split":{"index":"fixed","shard":0}}`, "no layout that can change"},
+		{"", `{"abandon":{"index":"players","plan":5}}`, layout.ErrUnknown.Error()},
+		{"", `{"explode":{"index":"players"}}`, "known are move"},
+		{"", `{"split":{"index":"players"},"merge":{}}`, "one name"},
+		{"", `{"split":{"indices":"players"}}`, "unknown field"},
+		{"?dry_run=maybe", split, "dry_run"},
+	} {
+		if status, body := order(c.params, c.commands); status != 400 || (!strings.Contains(body, c.says) && c.says != "dry_run") {
+			t.Errorf("%s: %d %s, want %q", c.commands, status, body, c.says)
+		}
+		if store.now.Layout("players").Version() != 1 {
+			t.Fatalf("%s left a trace", c.commands)
+		}
+	}
+	if status, body := order("?dry_run=true", split); status != 200 || !strings.Contains(body, `"step":"planned"`) || store.now.Layout("players").Version() != 1 {
+		t.Errorf("dry run: %d %s", status, body)
+	}
+	if status, body := order("", split); status != 200 || !strings.Contains(body, `"versions":{"players":2}`) {
+		t.Errorf("%d %s", status, body)
+	}
+	if status, _ := order("", `{"abandon":{"index":"players","plan":1}}`); status != 200 {
+		t.Errorf("abandon: %d", status)
+	}
+	if status, body := order("", `{"resume":{"index":"players","plan":1}}`); status != 200 || len(store.now.Layout("players").Plans()) != 1 {
+		t.Errorf("resume: %d %s", status, body)
+	}
+	res, _ := ask(f, "GET", "/_cat/shards/players?v", "")
+	if got := string(res.Body); strings.Count(got, "RELOCATING") != 2 || strings.Count(got, "INITIALIZING") != 6 || strings.Count(got, "STARTED") != 6 {
+		t.Errorf("%s", got)
+	}
+	if res, _ := ask(f, "GET", "/players/_search_shards?routing=li", ""); bytes.Count(res.Body, []byte(`"node"`)) != 2 {
+		t.Errorf("%s", res.Body)
+	}
+	f.Changes = nil
+	if status, _ := order("", split); status != 400 {
+		t.Errorf("without a store: %d", status)
+	}
+}
+
+// What a server says of its version and ranges is read, and nothing that it says breaks the reader.
+func TestServersSayWhatTheyHold(t *testing.T) {
+	reply := func(status, headers, body string) (peer.Message, end.End, error) {
+		text := fmt.Sprintf("HTTP/1.1 %s x\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+		return Dialect{}.Reader(strings.NewReader(text)).Next()
+	}
+	const hits = `{"_shards":{"total":1,"successful":1},"hits":{"total":{"value":0},"hits":[]}}`
+	if m, _, err := reply("409", "X-Layout-Version: 12\r\n", ""); err != nil || m.End != end.Moved || m.Layout != 12 {
+		t.Errorf("%+v %v", m, err)
+	}
+	if m, _, err := reply("409", "", ""); err != nil || m.End != end.ServerError {
+		t.Errorf("a conflict without a version: %+v %v", m, err)
+	}
+	if m, _, err := reply("200", "X-Layout-Covers: 0-ff\r\n", hits); err != nil || m.End != end.Served || *m.Covers != (layout.Range{First: 0, Last: 255}) {
+		t.Errorf("%+v %v", m, err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		value := rapid.StringMatching(`[ -~]{0,40}`).Draw(t, "value")
+		name := rapid.SampledFrom([]string{HeaderVersion, HeaderCovers}).Draw(t, "name")
+		m, e, err := reply("200", name+": "+value+"\r\n", hits)
+		if err != nil && e != end.Garbled || err == nil && m.Covers != nil && !m.Covers.Valid() {
+			t.Fatalf("%q: %+v %v %v", value, m, e, err)
+		}
+	})
+	ask := &coordinator.Ask{Slice: 1 << 20, Version: 3, Range: layout.Range{First: 1, Last: 2}}
+	wire := string(Dialect{}.Call([]peer.Part{{Name: "q.1", Collection: "players", Shard: 1 << 33, Wait: time.Second, Ask: ask}}))
+	for _, s := range []string{"/players/_search?preference=_shards:1048576&", "X-Layout-Version: 3\r\n", "X-Layout-Range: 0000000000000001-0000000000000002\r\n"} {
+		if !strings.Contains(wire, s) {
+			t.Errorf("%q lacks %q", wire, s)
+		}
+	}
+	if wire := string(Dialect{}.Call([]peer.Part{{Name: "q.1", Collection: "players", Shard: 1}})); strings.Contains(wire, "Layout") {
+		t.Errorf("a fixed layout's part says %q", wire)
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"linkpass/internal/catalog"
 )
 
@@ -196,3 +198,25 @@
 		}
 	}
 }
+
+// Two changes made on one document: the log holds both, and the second finds that another came first.
+func TestAChangeIsACompareAndSet(t *testing.T) {
+	m := &machine{}
+	m.current.Store(&catalog.Catalog{})
+	apply := func(text string) any { return m.Apply(&raft.Log{Data: []byte(text)}) }
+	if err := apply(`{"revision":1,"search":{"max_result_window":5}}`); err != nil {
+		t.Fatal(err)
+	}
+	if err, _ := apply(`{"revision":1,"search":{"max_result_window":9}}`).(error); !errors.Is(err, ErrConflict) {
+		t.Errorf("the same revision twice: %v", err)
+	}
+	if err, _ := apply(`{"revision":3,"search":{}}`).(error); !errors.Is(err, ErrConflict) {
+		t.Errorf("a revision left out: %v", err)
+	}
+	if err := apply(`{"search":{"max_result_window":7}}`); err != nil { // of a program before revisions
+		t.Errorf("an old entry: %v", err)
+	}
+	if got := m.current.Load(); got.Window() != 7 {
+		t.Errorf("holds %+v", got)
+	}
+}
