--- /dev/null
+++ b/internal/coordinator/bench_test.go
@@ -0,0 +1,96 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"linkpass"
+	"linkpass/internal/counters"
+	"linkpass/internal/end"
+	"linkpass/internal/layout"
+)
+
+// instant answers every attempt and probe as soon as it is asked.
+type instant struct{ core *Core }
+
+func (l *instant) List(List) {}
+func (l *instant) Call(_ linkpass.ServerID, list []Attempt) bool {
+	for _, a := range list {
+		r := Result{End: end.Served, At: l.core.Now()}
+		if a.Ask != nil {
+			r.Covers = &a.Ask.Range
+		}
+		go l.core.Ended(a.ID, r)
+	}
+	return true
+}
+func (l *instant) Cancel(linkpass.ServerID, AttemptID) {}
+func (l *instant) Probe(_ linkpass.ServerID, n uint64) bool {
+	go l.core.ProbeEnded(n, Result{End: end.Served, At: l.core.Now(), Report: []float64{0}})
+	return true
+}
+func (l *instant) Forget(linkpass.ServerID, uint64) {}
+
+// A query of eight parts through the core: on a fixed layout, and on one that could move and stays
+// still. The difference is what the layout costs each query.
+func BenchmarkQuery(b *testing.B) {
+	for _, n := range []int{0, 10, 1000, 100_000} {
+		name := "fixed"
+		if n > 0 {
+			name = fmt.Sprintf("slices=%d", n)
+		}
+		b.Run(name, func(b *testing.B) { benchQueries(b, n) })
+	}
+}
+
+func benchQueries(b *testing.B, n int) {
+	set := linkpass.Settings{Tick: time.Microsecond, Peers: 1, Shards: 8, Cells: 1, Reach: 1, Probes: false, Cancel: true, MaxAttempts: 3,
+		CallParts: 1, ReportFields: []linkpass.ReportField{linkpass.FieldInflight}, AnswerSlack: 20 * time.Millisecond,
+		Classes: []linkpass.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+	core, err := New(Config{Settings: set, Seed: 7, ProbeTimeout: time.Second, Counters: counters.New(), Figures: counters.NewFigures([]string{"q"})})
+	if err != nil {
+		b.Fatal(err)
+	}
+	core.Bind(&instant{core})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); core.Run(ctx) }()
+	var members []Member
+	for i := range 4 {
+		members = append(members, Member{Entry: linkpass.Entry{Server: linkpass.ServerID(i), State: linkpass.Ready}})
+	}
+	core.List(List{Mode: linkpass.ListFull, Members: members})
+	q := Query{Name: "q", Timeout: 2 * time.Second, Text: []byte("x")}
+	if n == 0 {
+		for i := range 8 {
+			q.Parts = append(q.Parts, Part{Shard: i, Weight: 1. / 8, Text: q.Text})
+		}
+	} else {
+		l, err := layout.Even(n, [][]string{{"a", "b", "c", "d"}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		news, _ := layout.Differ("i", nil, l)
+		core.Reshape([]layout.News{news}, func(s string) linkpass.ServerID { return numbers[s] })
+		q.Collection = "i"
+		for i := range 8 {
+			k := layout.Key(fmt.Sprint(i))
+			q.Wanted = append(q.Wanted, layout.Range{First: k, Last: k})
+		}
+	}
+	answers := make(chan Answer, 1)
+	q.Reply = func(a Answer) { answers <- a }
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Began = core.Now()
+		core.Submit(q)
+		if a := <-answers; !a.Whole {
+			b.Fatalf("%+v", a)
+		}
+	}
+	b.StopTimer()
+	cancel()
+	<-done
+}
--- a/internal/coordinator/moving.go
+++ b/internal/coordinator/moving.go
@@ -115,9 +115,8 @@
 		return nil
 	}
 	g.open++
-	wanted := coverage.Of(q.Wanted...).Ranges()
-	q.ground, q.layout, q.ledger = g, g.now, coverage.NewLedger(wanted...)
-	return c.parted(q, g.now, replan.Plan(g.now, wanted), 1)
+	q.ground, q.layout, q.ledger = g, g.now, coverage.NewLedger(q.Wanted...)
+	return c.parted(q, g.now, replan.Plan(g.now, q.ledger.Wanted()), 1)
 }
 
 // parted words planned parts; their weights follow their ranges and add up to total.
@@ -260,7 +259,9 @@
 			a.Whole = false
 		}
 	}
-	a.Missing = c.lost(q, a.Missing)
+	if !q.ledger.Whole() {
+		a.Missing = c.lost(q, a.Missing)
+	}
 	q.ground.open--
 	if q.ground.now == nil && q.ground.open == 0 {
 		c.clear(q.ground)
--- a/internal/layout/coverage/coverage.go
+++ b/internal/layout/coverage/coverage.go
@@ -3,6 +3,7 @@
 package coverage
 
 import (
+	"cmp"
 	"slices"
 
 	"linkpass/internal/layout"
@@ -14,13 +15,9 @@
 
 // Of is the union of ranges.
 func Of(ranges ...layout.Range) Set {
-	sorted := slices.SortedFunc(slices.Values(ranges), func(a, b layout.Range) int {
-		if a.First < b.First {
-			return -1
-		}
-		return 1
-	})
-	var s Set
+	sorted := slices.Clone(ranges)
+	slices.SortFunc(sorted, func(a, b layout.Range) int { return cmp.Compare(a.First, b.First) })
+	s := Set{spans: sorted[:0]} // what is written has been read
 	for _, r := range sorted {
 		if n := len(s.spans); n > 0 && (s.spans[n-1].Last >= r.First || s.spans[n-1].Last+1 == r.First) {
 			s.spans[n-1].Last = max(s.spans[n-1].Last, r.Last)
@@ -34,15 +31,7 @@
 // Add takes a range in, unless it shares a key with what is in: then nothing
 // changes and it is false.
 func (s *Set) Add(r layout.Range) bool {
-	i, found := slices.BinarySearchFunc(s.spans, r.First, func(a layout.Range, first uint64) int {
-		if a.First < first {
-			return -1
-		}
-		if a.First > first {
-			return 1
-		}
-		return 0
-	})
+	i, found := s.search(r.First)
 	if !r.Valid() || found || i > 0 && s.spans[i-1].Last >= r.First || i < len(s.spans) && s.spans[i].First <= r.Last {
 		return false
 	}
@@ -62,6 +51,23 @@
 	return true
 }
 
+// search finds the first span that begins at a key or after it.
+func (s *Set) search(first uint64) (i int, found bool) {
+	return slices.BinarySearchFunc(s.spans, first, func(a layout.Range, k uint64) int { return cmp.Compare(a.First, k) })
+}
+
+// Holds tells whether every key of a range is in.
+func (s *Set) Holds(r layout.Range) bool {
+	i, found := s.search(r.First)
+	if !found {
+		i--
+	}
+	return i >= 0 && s.spans[i].Holds(r)
+}
+
+// Equal tells whether two sets have the same keys.
+func (s Set) Equal(o Set) bool { return slices.Equal(s.spans, o.spans) }
+
 // Less is the keys of s that are not in o.
 func (s Set) Less(o Set) (out Set) {
 	for _, r := range s.spans {
@@ -108,12 +114,19 @@
 }
 
 // NewLedger begins a query that wants the union of the ranges.
-func NewLedger(wanted ...layout.Range) *Ledger { return &Ledger{wanted: Of(wanted...)} }
+func NewLedger(wanted ...layout.Range) *Ledger {
+	l := &Ledger{wanted: Of(wanted...)}
+	l.in.spans = make([]layout.Range, 0, len(l.wanted.spans)+1)
+	return l
+}
+
+// Wanted lists what the query wants, in order. The list must not be changed.
+func (l *Ledger) Wanted() []layout.Range { return l.wanted.spans }
 
 // Book takes an answer for a range in. It is false, and the answer must not be
 // used, where a key of it is in already or was never wanted.
 func (l *Ledger) Book(r layout.Range) bool {
-	if !r.Valid() || !Of(r).Less(l.wanted).Empty() || !l.in.Add(r) {
+	if !r.Valid() || !l.wanted.Holds(r) || !l.in.Add(r) {
 		l.doubled = true
 		return false
 	}
@@ -121,7 +134,7 @@
 }
 
 // Whole tells whether every wanted key is in exactly once.
-func (l *Ledger) Whole() bool { return l.wanted.Less(l.in).Empty() }
+func (l *Ledger) Whole() bool { return l.wanted.Equal(l.in) }
 
 // Doubled tells whether an answer was turned down.
 func (l *Ledger) Doubled() bool { return l.doubled }
--- a/internal/layout/replan/replan.go
+++ b/internal/layout/replan/replan.go
@@ -30,14 +30,17 @@
 }
 
 // Plan cuts the wanted ranges, which share no key, along the slices of a version: a part each.
-func Plan(l *layout.Layout, wanted []layout.Range) (out []Part) {
-	for _, r := range wanted {
-		l.Each(r, func(s layout.Slice) bool {
-			if both, some := s.Range.Overlap(r); some {
-				out = append(out, Part{Slice: s.ID, Range: both})
-			}
-			return true
-		})
+func Plan(l *layout.Layout, wanted []layout.Range) []Part {
+	out := make([]Part, 0, len(wanted))
+	var r layout.Range
+	take := func(s layout.Slice) bool {
+		if both, some := s.Range.Overlap(r); some {
+			out = append(out, Part{Slice: s.ID, Range: both})
+		}
+		return true
+	}
+	for _, r = range wanted {
+		l.Each(r, take)
 	}
 	return out
 }
