--- a/router_test.go
+++ b/router_test.go
@@ -989,3 +989,20 @@
 	b.after(50*ms, closed(21, 0, 1, Stale, 50*ms), Replaced{IDs: []RequestID{21}, In: 0.75})
 	expect[Refuse](t, b.last, 1) // nobody can give the rest, and all is needed
 }
+
+// A slice that moves to a cold server alone brings no more there than the cold rule allows.
+func TestASliceMovedToAColdServerSparesIt(t *testing.T) {
+	b := newBed(t, settings())
+	b.turn(ListUpdate{Mode: ListDelta, Entries: []Entry{{Server: 9, Cell: 2, State: Ready, Since: b.now}}},
+		Placed{Shard: 100, Servers: []ServerID{9}})
+	sent, spared := 0, Entry{Since: b.now}
+	for i := range 200 {
+		b.query(RequestID(1000+10*i), 0, 100)
+		sent += len(of[Send](b.last))
+		sent += len(of[Send](b.after(5*ms, reply(9, 0))))
+	}
+	allowed := 2 + int(time.Second/time.Duration(b.r.coldGap(spared, 1)))
+	if sent == 0 || sent > allowed {
+		t.Errorf("%d parts within a second to a cold server, at most %d are allowed", sent, allowed)
+	}
+}
