--- a/router_test.go
+++ b/router_test.go
@@ -997,9 +997,11 @@
 		Placed{Shard: 100, Servers: []ServerID{9}})
 	sent, allowed := 0, 2.0
 	for i := range 200 {
-		b.query(RequestID(1000+10*i), 0, 100)
-		sent += len(of[Send](b.last))
-		sent += len(of[Send](b.after(5*ms, reply(9, 0))))
+		out := append(of[Send](b.query(RequestID(1000+10*i), 0, 100)), of[Send](b.after(5*ms, reply(9, 0)))...)
+		for _, s := range out {
+			sent += len(of[Send](b.turn(closed(s.ID, 0, 9, OK, ms))))
+		}
+		sent += len(out)
 		allowed += float64(5*ms) / b.r.coldGap(b.r.servers[9].entry, b.r.charge(0))
 	}
 	if sent == 0 || float64(sent) > allowed {
