--- a/router_test.go
+++ b/router_test.go
@@ -992,14 +992,16 @@
 
 // A slice that moves to a cold server alone brings no more there than the cold rule allows.
 func TestASliceMovedToAColdServerSparesIt(t *testing.T) {
-	b := newBed(t, settings())
+	set := settings()
+	set.ColdFrom, set.Cold, set.FallMultiple = 0.2, 15*time.Second, 3
+	b := newBed(t, set)
 	b.turn(ListUpdate{Mode: ListDelta, Entries: []Entry{{Server: 9, Cell: 2, State: Ready, Since: b.now}}},
 		Placed{Shard: 100, Servers: []ServerID{9}})
 	sent, allowed := 0, 2.0
 	for i := range 200 {
 		out := append(of[Send](b.query(RequestID(1000+10*i), 0, 100)), of[Send](b.after(5*ms, reply(9, 0)))...)
 		for _, s := range out {
-			sent += len(of[Send](b.turn(closed(s.ID, 0, 9, OK, ms))))
+			sent += len(of[Send](b.turn(closed(s.ID, 0, 9, OK, 20*ms))))
 		}
 		sent += len(out)
 		allowed += float64(5*ms) / b.r.coldGap(b.r.servers[9].entry, b.r.charge(0))
