--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -44,7 +44,7 @@
 	past      []Plan // ended, oldest first
 
 	copying sync.Mutex                 // a copy marks the trees that it shares
-	serving btree.Map[uint64, Slice]   // by first key
+	serving btree.Map[uint64, *Slice]  // by first key
 	firsts  btree.Map[SliceID, uint64] // of the serving slices: their first keys
 }
 
@@ -69,8 +69,8 @@
 
 // Find is the slice that serves a key.
 func (l *Layout) Find(key uint64) (found Slice, ok bool) {
-	l.serving.Descend(key, func(_ uint64, s Slice) bool {
-		found, ok = s, s.Range.Has(key)
+	l.serving.Descend(key, func(_ uint64, s *Slice) bool {
+		found, ok = *s, s.Range.Has(key)
 		return false
 	})
 	return found, ok
@@ -82,7 +82,8 @@
 	if !ok {
 		return Slice{}, false
 	}
-	return l.serving.Get(first)
+	s, _ := l.serving.Get(first)
+	return *s, true
 }
 
 // Each calls f with the serving slices that touch a range, in order of keys,
@@ -92,11 +93,18 @@
 	if s, ok := l.Find(r.First); ok {
 		from = s.Range.First
 	}
-	l.serving.Ascend(from, func(first uint64, s Slice) bool { return first <= r.Last && f(s) })
+	l.serving.Ascend(from, func(first uint64, s *Slice) bool { return first <= r.Last && f(*s) })
 }
 
 // Slices lists the serving slices in order of keys.
-func (l *Layout) Slices() []Slice { return l.serving.Values() }
+func (l *Layout) Slices() []Slice {
+	out := make([]Slice, 0, l.serving.Len())
+	l.serving.Scan(func(_ uint64, s *Slice) bool {
+		out = append(out, *s)
+		return true
+	})
+	return out
+}
 
 // Held tells whether a slice's holders still have its data: it serves, or gave way
 // to others in a plan that is not yet retired.
@@ -138,7 +146,7 @@
 }
 
 func (l *Layout) put(s Slice) {
-	l.serving.Set(s.Range.First, s)
+	l.serving.Set(s.Range.First, &s)
 	l.firsts.Set(s.ID, s.Range.First)
 }
 
