A store for bodies: one body once, in memory or in a checked log of segments

Held by rapid to a map under a disk that fills, writes short, flips bits and fails; ENOSPC also for real under a file-size limit of a child process.

--- /dev/null
+++ b/internal/bodies/dir.go
@@ -0,0 +1,62 @@
+package bodies
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+)
+
+const ownPrefix = "linkpass-bodies-"
+
+// ownDir makes a folder of this process's own under dir and removes what processes that are no
+// more have left there. A process holds the lock of its folder for as long as it lives, so that two
+// of them during a change of version do not touch each other's.
+func ownDir(dir string) (own string, lock *os.File, err error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", nil, fmt.Errorf("bodies: %w", err)
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return "", nil, fmt.Errorf("bodies: %w", err)
+	}
+	for _, e := range entries {
+		if e.IsDir() && strings.HasPrefix(e.Name(), ownPrefix) {
+			clean(filepath.Join(dir, e.Name()))
+		}
+	}
+	if own, err = os.MkdirTemp(dir, ownPrefix); err != nil {
+		return "", nil, fmt.Errorf("bodies: %w", err)
+	}
+	if lock, err = locked(own); err != nil {
+		_ = os.RemoveAll(own)
+		return "", nil, fmt.Errorf("bodies: %w", err)
+	}
+	return own, lock, nil
+}
+
+func locked(own string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(own, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// clean removes a folder whose process is no more.
+func clean(own string) {
+	if _, err := os.Stat(filepath.Join(own, "lock")); err != nil {
+		return // another process is just making it; the next start will see
+	}
+	f, err := locked(own)
+	if err != nil {
+		return
+	}
+	_ = os.RemoveAll(own)
+	_ = f.Close()
+}
--- /dev/null
+++ b/internal/bodies/log.go
@@ -0,0 +1,242 @@
+package bodies
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FS is what the log needs of a file system.
+type FS interface {
+	Create(path string) (Disk, error)
+	Remove(path string) error
+}
+
+// Disk is one file of it.
+type Disk interface {
+	io.ReaderAt
+	io.WriterAt
+	io.Closer
+}
+
+// osFS is the machine's own.
+type osFS struct{}
+
+func (osFS) Create(path string) (Disk, error) {
+	return os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+}
+func (osFS) Remove(path string) error { return os.Remove(path) }
+
+const (
+	segmentSize = 4 << 20
+	headSize    = 16
+	maxRecord   = 64 << 10 // bytes of one record's data
+)
+
+var magic = [4]byte{'L', 'P', 'B', '1'}
+
+// ErrCorrupt marks a record that is not what was written.
+var ErrCorrupt = errors.New("bodies: a record does not check")
+
+// record is where some bytes lie.
+type record struct {
+	seg *segment
+	off int64
+	n   int
+}
+
+// segment is one file of the log. The log's mutex guards its figures.
+type segment struct {
+	disk   Disk
+	path   string
+	size   int64 // taken, written or not
+	live   int64
+	pins   int // readers and writers at work
+	sealed bool
+}
+
+// seglog is a log of segments. Records are written side by side; a segment goes when all in it is
+// free.
+type seglog struct {
+	fs  FS
+	dir string
+
+	making sync.Mutex // of a new segment; guards seq
+	seq    int
+
+	mu    sync.Mutex // held for no disk
+	cur   *segment
+	segs  map[*segment]bool
+	trash []*segment // to be removed from the disk
+}
+
+func newLog(fs FS, dir string) *seglog { return &seglog{fs: fs, dir: dir, segs: map[*segment]bool{}} }
+
+// append writes data of maxRecord bytes at most.
+func (l *seglog) append(data []byte) (record, error) {
+	need := int64(headSize + len(data))
+	seg, off, err := l.take(need)
+	if err != nil {
+		return record{}, err
+	}
+	b := make([]byte, headSize, need)
+	copy(b, magic[:])
+	binary.LittleEndian.PutUint32(b[4:], uint32(len(data)))
+	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64(data))
+	n, err := seg.disk.WriteAt(append(b, data...), off)
+	if err == nil && int64(n) < need {
+		err = io.ErrShortWrite
+	}
+	rec := record{seg, off, len(data)}
+	l.unpin(seg)
+	if err != nil {
+		l.free(rec)
+		return record{}, fmt.Errorf("bodies: write: %w", err)
+	}
+	return rec, nil
+}
+
+// take finds a place for so many bytes; the segment is pinned.
+func (l *seglog) take(need int64) (*segment, int64, error) {
+	if s, off := l.place(need); s != nil {
+		return s, off, nil
+	}
+	l.making.Lock() // one makes a new segment; the disk holds up only those who write
+	defer l.making.Unlock()
+	if s, off := l.place(need); s != nil {
+		return s, off, nil
+	}
+	l.seq++
+	path := filepath.Join(l.dir, fmt.Sprintf("seg-%08d", l.seq))
+	disk, err := l.fs.Create(path)
+	if err != nil {
+		return nil, 0, fmt.Errorf("bodies: segment: %w", err)
+	}
+	l.mu.Lock()
+	old := l.cur
+	l.cur = &segment{disk: disk, path: path}
+	l.segs[l.cur] = true
+	if old != nil {
+		old.sealed = true
+		l.drop(old)
+	}
+	l.mu.Unlock()
+	s, off := l.place(need) // others may have filled it: no record is so large
+	if s == nil {
+		return nil, 0, errors.New("bodies: segment: full at once")
+	}
+	return s, off, nil
+}
+
+// place takes a place in the current segment, if it has room.
+func (l *seglog) place(need int64) (*segment, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cur == nil || l.cur.size+need > segmentSize {
+		return nil, 0
+	}
+	s, off := l.cur, l.cur.size
+	s.size += need
+	s.live += need
+	s.pins++
+	return s, off
+}
+
+func (l *seglog) pin(s *segment) { l.mu.Lock(); s.pins++; l.mu.Unlock() }
+
+func (l *seglog) unpin(s *segment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.pins--
+	l.drop(s)
+}
+
+// free gives a record's place up.
+func (l *seglog) free(r record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.seg.live -= int64(headSize + r.n)
+	l.drop(r.seg)
+}
+
+// drop puts a segment in which nothing is left into the trash. The mutex is held.
+func (l *seglog) drop(s *segment) {
+	if !s.sealed || s.live > 0 || s.pins > 0 || !l.segs[s] {
+		return
+	}
+	delete(l.segs, s)
+	l.trash = append(l.trash, s)
+}
+
+// sweep removes from the disk what was dropped.
+func (l *seglog) sweep() {
+	l.mu.Lock()
+	trash := l.trash
+	l.trash = nil
+	l.mu.Unlock()
+	for _, s := range trash {
+		_ = s.disk.Close()
+		_ = l.fs.Remove(s.path) // what stays is removed at the next start
+	}
+}
+
+// read reads a record into buf, which has room for it, and checks it. The segment is pinned.
+func (l *seglog) read(r record, buf []byte) ([]byte, error) {
+	buf = buf[:headSize+r.n]
+	if _, err := r.seg.disk.ReadAt(buf, r.off); err != nil {
+		return nil, fmt.Errorf("bodies: read: %w", err)
+	}
+	return parseRecord(buf, r.n)
+}
+
+// parseRecord checks a record that is to hold n bytes, and gives these.
+func parseRecord(buf []byte, n int) ([]byte, error) {
+	if len(buf) < headSize || [4]byte(buf[:4]) != magic || binary.LittleEndian.Uint32(buf[4:]) != uint32(n) || len(buf) != headSize+n {
+		return nil, fmt.Errorf("%w: its head", ErrCorrupt)
+	}
+	data := buf[headSize:]
+	if xxhash.Sum64(data) != binary.LittleEndian.Uint64(buf[8:]) {
+		return nil, fmt.Errorf("%w: its data", ErrCorrupt)
+	}
+	return data, nil
+}
+
+// taken is how many bytes the segments take on disk.
+func (l *seglog) taken() (n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range l.segs {
+		n += s.size
+	}
+	return n
+}
+
+// sparse finds the sealed segment with the least in it, if that is under half.
+func (l *seglog) sparse() (found *segment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range l.segs {
+		if s.sealed && s.live > 0 && s.live < s.size/2 && (found == nil || s.live < found.live || s.live == found.live && s.path < found.path) {
+			found = s
+		}
+	}
+	return found
+}
+
+// close ends the log; its files go.
+func (l *seglog) close() {
+	l.mu.Lock()
+	for s := range l.segs {
+		l.trash = append(l.trash, s)
+	}
+	clear(l.segs)
+	l.cur = nil
+	l.mu.Unlock()
+	l.sweep()
+}
--- a/internal/bodies/tier/tier.go
+++ b/internal/bodies/tier/tier.go
@@ -392,3 +392,6 @@
 	}
 	return s.class[b.class]-b.size < s.limits.Classes[b.class].Floor
 }
+
+// Moving tells whether a body is on its way to a file.
+func (s *State) Moving(id ID) bool { b := s.bodies[id]; return b != nil && b.moving }
