Parts are written from where their bodies lie, and the module hears which are bare

A body kept elsewhere is streamed by a goroutine of its connection, with the last looks (over, drained, moved) before each piece; one that cannot be read cuts the connection before its last byte, so it never ran. The core tells the keeper when no part of a query is yet to be written, and the module (Bare) when a body is gone: it makes no retry and no hedge then, and ends the query as soon as no part can succeed.

--- a/api.go
+++ b/api.go
@@ -232,6 +232,9 @@
 	In    float64 // weight that is in of the parts that give way: a piece was answered
 }
 
+// Bare says that a part's body cannot be sent again: no attempt of it can be made any more.
+type Bare struct{ ID RequestID }
+
 // PeerMessage is a message from another front node. The router sends none and
 // reads none; hosts may pass it on all the same.
 type PeerMessage struct {
@@ -250,6 +253,7 @@
 func (Warm) event()        {}
 func (Placed) event()      {}
 func (Replaced) event()    {}
+func (Bare) event()        {}
 func (PeerMessage) event() {}
 
 // Action is something the front node is to do, in the order returned.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log"
 	"sync"
 	"sync/atomic"
@@ -53,11 +54,25 @@
 	// of Parts: they are cut along the slices when it is taken.
 	Wanted []layout.Range
 	Text   []byte // of each such part
+	// Body takes the place of every part's text where it is kept by somebody else. The core
+	// releases it with the answer.
+	Body Body
 	// Reply takes the final answer, exactly once. It is called from the core's
 	// own goroutine and must not block.
 	Reply func(Answer)
 }
 
+// Body is the text of a query's parts, kept elsewhere for as long as it can be. No method waits.
+type Body interface {
+	Size() int64
+	// Open reads it as a stream. An error means that it can be read no more.
+	Open() (io.ReadCloser, error)
+	Written()      // no part is yet to be written: it may be given up
+	Waits()        // a part is to be written, or again
+	OnGone(func()) // whom to tell, once, when it can be read no more
+	Release()      // it is needed no more
+}
+
 // Verdict is how a query ends.
 type Verdict uint8
 
@@ -96,6 +111,7 @@
 	Shard int
 	Last  end.End // how its latest attempt ended
 	Tried bool    // there was an attempt
+	Bare  bool    // its body could not be sent again
 	Ask   *Ask    // what is missing; nil: the layout is fixed
 }
 
@@ -123,6 +139,7 @@
 	Collection string
 	Shard      int
 	Text       []byte
+	Body       Body          // in place of Text; nil: none
 	Ends       time.Duration // nothing may be written from then on
 	Ask        *Ask
 	over       *atomic.Bool
@@ -223,6 +240,8 @@
 	parts  []*part
 	due    *deadline.Entry
 	number uint64 // ties the module's parts to it
+	unsent int    // parts that are yet to be written
+	bare   bool   // its body is gone
 
 	ground *ground          // nil: the layout is fixed
 	layout *layout.Layout   // the version that it was planned on
@@ -238,6 +257,7 @@
 	out      int // attempts whose end is to come
 	in       bool
 	gave     bool // way to others
+	unsent   bool // it is to be written, or again
 	value    Value
 	last     end.End
 }
@@ -352,6 +372,9 @@
 	var open *query
 	c.figures.InFlight.Add(1)
 	if !c.post(func() { open = c.take(q) }) {
+		if q.Body != nil {
+			q.Body.Release()
+		}
 		c.settle(q, Answer{Verdict: Failed, Missing: missAll(q)})
 		return func() {}
 	}
@@ -499,6 +522,9 @@
 	for _, p := range parts {
 		c.events = append(c.events, c.join(open, p, left))
 	}
+	if q.Body != nil {
+		q.Body.OnGone(func() { c.aside(func() { c.bare(open) }) })
+	}
 	// Guards against a query that the module never ends: it fails when its time is over.
 	open.due = c.dues.Arm(open.ends+c.set.AnswerSlack, func() {
 		log.Printf("event=query_overdue query=%q class=%d", open.Name, open.Class)
@@ -515,6 +541,10 @@
 	mine := &part{Part: p, id: c.lastID, query: q}
 	q.parts = append(q.parts, mine)
 	c.parts[mine.id] = mine
+	c.unsent(mine, true)
+	if q.bare { // the module hears it with the next turn's events, behind the arrival
+		c.aside(func() { c.bare(q) })
+	}
 	return linkpass.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class, Repeat: q.Repeat,
 		Cost: p.Hint, Key: p.Key, Amount: p.Weight, Query: q.number}
 }
@@ -544,7 +574,7 @@
 		case p.in && a.Verdict == Answered:
 			a.Values = append(a.Values, p.value)
 		case !p.in:
-			a.Missing = append(a.Missing, Miss{Shard: p.Shard, Last: p.last, Tried: p.attempts > 0, Ask: p.Ask})
+			a.Missing = append(a.Missing, Miss{Shard: p.Shard, Last: p.last, Tried: p.attempts > 0, Ask: p.Ask, Bare: q.bare})
 		}
 	}
 	if q.ground != nil {
@@ -553,6 +583,9 @@
 	if a.Verdict == Refused {
 		c.count.Add(c.refusal(q), 1)
 	}
+	if q.Body != nil {
+		q.Body.Release()
+	}
 	c.settle(q.Query, a)
 }
 
@@ -654,6 +687,7 @@
 	at := &attempt{id: AttemptID{a.ID, p.attempts}, part: p, server: a.Server, sent: now}
 	p.attempts++
 	p.out++
+	c.unsent(p, true)
 	c.attempts[at.id] = at
 	c.count.Add("attempts_sent", 1)
 	wait := p.query.ends - now
@@ -665,7 +699,7 @@
 		c.ended(at.id, Result{End: end.Silent, At: c.Now()})
 	})
 	out := Attempt{ID: at.id, Query: p.query.Name, Collection: p.query.Collection, Shard: p.Shard, Text: p.Text,
-		Ends: p.query.ends, Ask: p.Ask, over: &at.over, gone: &at.gone}
+		Body: p.query.Body, Ends: p.query.ends, Ask: p.Ask, over: &at.over, gone: &at.gone}
 	for i := range c.calls {
 		if c.calls[i].server == a.Server && len(c.calls[i].attempts) < c.set.CallParts {
 			c.calls[i].attempts = append(c.calls[i].attempts, out)
@@ -696,8 +730,12 @@
 		p.last = r.End
 	}
 	if r.End == end.Served && !p.in && !p.gave {
+		c.unsent(p, false)
 		p.in, p.value = true, Value{Shard: p.Shard, Ask: p.Ask, Data: r.Value, Score: r.Score, Hits: r.Hits}
 	}
+	if !p.in && !p.gave && p.out == 0 {
+		c.unsent(p, true) // the module may want it sent again
+	}
 	c.events = append(c.events, linkpass.Outcome{ID: id.Part, Attempt: id.No, Server: at.server,
 		Code: r.End.Code(), Took: max(0, r.At-at.sent), Final: p.in, Report: r.Report})
 	c.events = append(c.events, after...)
--- a/internal/coordinator/moving.go
+++ b/internal/coordinator/moving.go
@@ -187,6 +187,7 @@
 	if why != replan.Done { // the rest is lost; the module hears that no part asks for it
 		c.count.Add("replans_refused_"+string(why), 1)
 		p.gave = true
+		c.unsent(p, false)
 		p.query.parts = slices.DeleteFunc(p.query.parts, func(o *part) bool { return o == p })
 		delete(c.parts, p.id)
 		replaced = linkpass.Replaced{IDs: []linkpass.RequestID{p.id}}
@@ -236,6 +237,7 @@
 	}
 	for _, o := range drop {
 		o.gave = true
+		c.unsent(o, false)
 		delete(c.parts, o.id)
 		out.IDs = append(out.IDs, o.id)
 	}
--- a/internal/end/end.go
+++ b/internal/end/end.go
@@ -39,6 +39,7 @@
 	Unversioned            // the server does not tell which keys its answer covers
 	Doubled                // the answer covers keys that are in already, or that nobody asked for
 	Pieced                 // the server answered a piece of what was asked for
+	Unkept                 // never written whole: the body is not kept any more
 )
 
 var names = [...]string{
@@ -47,7 +48,7 @@
 	CutInWrite: "cut_in_write", Broken: "broken", Closed: "closed", Garbled: "garbled",
 	Rejected: "rejected", Silent: "silent", CalledOff: "called_off",
 	Withheld: "withheld", Crowded: "crowded", Moved: "moved", Ahead: "ahead",
-	Unversioned: "unversioned", Doubled: "doubled", Pieced: "pieced",
+	Unversioned: "unversioned", Doubled: "doubled", Pieced: "pieced", Unkept: "unkept",
 }
 
 // Count is the number of ways to end.
@@ -79,7 +80,7 @@
 		return linkpass.TimedOut
 	case CalledOff:
 		return linkpass.Cancelled
-	case Withheld:
+	case Withheld, Unkept:
 		return linkpass.Moot
 	default: // Broken, Closed, Garbled, Rejected
 		return linkpass.Reset
--- a/internal/frame/dialect.go
+++ b/internal/frame/dialect.go
@@ -29,6 +29,11 @@
 	return AppendCall(nil, list)
 }
 
+// Head words a call of one part up to its text.
+func (d Dialect) Head(p peer.Part, size int64) []byte {
+	return AppendHead(nil, Part{ID: p.Name, Shard: p.Shard, Wait: p.Wait}, size)
+}
+
 // GiveUp words that a part is given up.
 func (d Dialect) GiveUp(name string) []byte { return Append(nil, GiveUp, []byte(name)) }
 
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -74,6 +74,13 @@
 	return Append(b, Call, rest)
 }
 
+// AppendHead adds a call of one part to b, up to its text of that size.
+func AppendHead(b []byte, p Part, size int64) []byte {
+	line := fmt.Appendf(nil, "%s %d d=%d %d\n", p.ID, p.Shard, max(1, p.Wait.Milliseconds()), size)
+	b = binary.LittleEndian.AppendUint32(b, uint32(1+int64(len(line))+size))
+	return append(append(b, Call), line...)
+}
+
 // Reply is what an answer frame says.
 type Reply struct {
 	ID     string
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -294,12 +294,16 @@
 
 // WriteRequest writes a request in one piece; path holds the query too.
 func WriteRequest(w io.Writer, method, path, host string, header textproto.MIMEHeader, body []byte) error {
-	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, host)
-	b = appendHeader(b, header, len(body), false)
+	b := RequestHead(method, path, host, header, int64(len(body)))
 	_, err := w.Write(append(b, body...))
 	return err
 }
 
+// RequestHead words a request up to its body of that size.
+func RequestHead(method, path, host string, header textproto.MIMEHeader, size int64) []byte {
+	return appendHeader(fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, host), header, int(size), false)
+}
+
 func appendHeader(b []byte, h textproto.MIMEHeader, length int, last bool) []byte {
 	for key, values := range h {
 		for _, v := range values {
--- a/internal/opensearch/dialect.go
+++ b/internal/opensearch/dialect.go
@@ -50,23 +50,38 @@
 func (d Dialect) Call(parts []peer.Part) []byte {
 	var b bytes.Buffer
 	for _, p := range parts {
-		path := "/_search"
-		if p.Collection != "" {
-			path = "/" + url.PathEscape(p.Collection) + path
-		}
-		path += fmt.Sprintf("?preference=_shards:%d&timeout=%dms", p.Shard, max(1, p.Wait.Milliseconds()))
-		header := textproto.MIMEHeader{"Content-Type": {"application/json"}, "X-Opaque-Id": {p.Name}}
-		if p.Ask != nil {
-			path = fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms", url.PathEscape(p.Collection), p.Ask.Slice, max(1, p.Wait.Milliseconds()))
-			header.Set(HeaderVersion, strconv.FormatUint(p.Ask.Version, 10))
-			header.Set(HeaderRange, p.Ask.Range.String())
-		}
+		path, header := target(p)
 		// Writes to a buffer do not fail.
 		_ = http1.WriteRequest(&b, "POST", path, host, header, searchOf(p.Text))
 	}
 	return b.Bytes()
 }
 
+// Head words a search up to its body. The platform's text is no search: it is worded whole.
+func (d Dialect) Head(p peer.Part, size int64) []byte {
+	if p.Collection == "" {
+		return nil
+	}
+	path, header := target(p)
+	return http1.RequestHead("POST", path, host, header, size)
+}
+
+// target is the path and the header of a part.
+func target(p peer.Part) (path string, header textproto.MIMEHeader) {
+	path = "/_search"
+	if p.Collection != "" {
+		path = "/" + url.PathEscape(p.Collection) + path
+	}
+	slice := uint64(p.Shard)
+	header = textproto.MIMEHeader{"Content-Type": {"application/json"}, "X-Opaque-Id": {p.Name}}
+	if p.Ask != nil {
+		slice = uint64(p.Ask.Slice)
+		header.Set(HeaderVersion, strconv.FormatUint(p.Ask.Version, 10))
+		header.Set(HeaderRange, p.Ask.Range.String())
+	}
+	return path + fmt.Sprintf("?preference=_shards:%d&timeout=%dms", slice, max(1, p.Wait.Milliseconds())), header
+}
+
 // searchOf is a part's text where that is a search's body already, as the
 // search front makes it; the platform's text is looked for as it stands.
 func searchOf(text []byte) []byte {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,7 @@
 	Arm(at time.Duration, fire func()) (disarm func())
 	Ended(coordinator.AttemptID, coordinator.Result)
 	ProbeEnded(number uint64, r coordinator.Result)
+	Written(coordinator.AttemptID) // whole, of a part with a body
 }
 
 // Part is one part of a call, about to be written.
@@ -64,6 +65,9 @@
 type Dialect interface {
 	Room() Room
 	Call([]Part) []byte
+	// Head words what goes before a part's body of that size, which then ends the message;
+	// nil: the part has to be worded whole.
+	Head(part Part, size int64) []byte
 	GiveUp(name string) []byte
 	Probe() []byte
 	Reader(io.Reader) Reader
@@ -154,6 +158,7 @@
 	held    int // parts and exclusive probes that wait
 	parts   map[string]coordinator.AttemptID
 	probes  []uint64 // in the order sent; their answers come in it
+	stream  *stream  // a body that is being written; nothing else may be, until its end
 	past    []string // latest last: parts that have ended here, whose answers may still come
 	waits   bool     // a probe was sent at asked, and nothing has come since
 	asked   time.Duration
@@ -287,7 +292,9 @@
 					continue
 				}
 				c.forget(name)
-				if p.room.Exclusive {
+				if c.stream != nil && c.stream.attempt.ID != id { // not into the middle of another's message
+					c.stream.after = append(c.stream.after, name)
+				} else if p.room.Exclusive || c.stream != nil {
 					p.drop(c, end.CalledOff)
 				} else if p.put(c, p.dialect.GiveUp(name)) && p.spent(c) {
 					p.drop(c, end.Silent)
@@ -383,7 +390,7 @@
 func (p *Peer) pick(parts int) *conn {
 	for _, up := range []bool{true, false} {
 		for _, c := range p.conns {
-			if (c.nc != nil) == up && !p.mute(c) && p.load(c)+parts <= p.room.Streams {
+			if (c.nc != nil) == up && c.stream == nil && !p.mute(c) && p.load(c)+parts <= p.room.Streams {
 				return c
 			}
 		}
@@ -409,11 +416,14 @@
 	c.held += parts
 	c.waiting = append(c.waiting, func() {
 		c.held -= parts
-		if c.dead {
+		switch {
+		case c.dead:
 			failed(c.how)
-			return
+		case c.stream != nil: // what waited before it has a body under way
+			p.when(parts, up, failed)
+		default:
+			up(c)
 		}
-		up(c)
 	})
 }
 
@@ -488,7 +498,7 @@
 			switch {
 			case c.dead:
 				return
-			case len(c.parts) > 0:
+			case len(c.parts) > 0 || c.stream != nil:
 				c.used = p.cfg.Sink.Now()
 			case p.cfg.Sink.Now() >= c.used+limit:
 				p.cfg.Counters.Add("peer_idle_closed", 1)
@@ -524,6 +534,7 @@
 		parts = append(parts, Part{Name: name, Collection: a.Collection, Shard: a.Shard, Text: a.Text, Wait: a.Ends - now, Ask: a.Ask})
 		sent = append(sent, a)
 	}
+	parts, sent = p.split(c, parts, sent)
 	p.endAll(withheld, end.Withheld)
 	p.endAll(moved, end.Moved)
 	p.endAll(whole, end.Unversioned)
@@ -577,7 +588,11 @@
 	c.release()
 	at := p.cfg.Sink.Now()
 	for _, id := range c.parts {
-		p.cfg.Sink.Ended(id, coordinator.Result{End: e, At: at})
+		how := e
+		if s := c.stream; s != nil && s.attempt.ID == id {
+			how = s.how(e)
+		}
+		p.cfg.Sink.Ended(id, coordinator.Result{End: how, At: at})
 	}
 	for _, number := range c.probes {
 		p.cfg.Sink.ProbeEnded(number, coordinator.Result{End: e, At: at})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,11 +23,12 @@
 
 // sink stands in for the core: time stands still unless the test moves it.
 type sink struct {
-	now    atomic.Int64
-	mu     sync.Mutex
-	armed  []*armed
-	ended  chan ended
-	probed chan coordinator.Result
+	now     atomic.Int64
+	mu      sync.Mutex
+	armed   []*armed
+	ended   chan ended
+	probed  chan coordinator.Result
+	written chan coordinator.AttemptID
 }
 
 type armed struct {
@@ -41,7 +42,8 @@
 }
 
 func newSink() *sink {
-	return &sink{ended: make(chan ended, 64), probed: make(chan coordinator.Result, 64)}
+	return &sink{ended: make(chan ended, 64), probed: make(chan coordinator.Result, 64),
+		written: make(chan coordinator.AttemptID, 64)}
 }
 func (s *sink) Now() time.Duration { return time.Duration(s.now.Load()) }
 func (s *sink) Arm(at time.Duration, fire func()) func() {
@@ -68,6 +70,7 @@
 	}
 }
 func (s *sink) Ended(id coordinator.AttemptID, r coordinator.Result) { s.ended <- ended{id, r} }
+func (s *sink) Written(id coordinator.AttemptID)                     { s.written <- id }
 func (s *sink) ProbeEnded(_ uint64, r coordinator.Result)            { s.probed <- r }
 
 // server takes connections of a stand-in and hands their frames to the test.
--- a/router.go
+++ b/router.go
@@ -96,19 +96,19 @@
 
 // part is one part of an open query.
 type part struct {
-	id         RequestID
-	query      *query
-	shard      int
-	weight     float64
-	tried      []*server // one for each attempt
-	spent      int       // attempts of those that it came from
-	open       []*attempt
-	done, dead bool // answered; nothing more can be tried
-	wants      bool // waits to be placed
-	race       *race
-	decideAt   time.Duration
-	ran        bool          // an attempt may have run
-	firstRun   time.Duration // when the first that may have run was sent
+	id               RequestID
+	query            *query
+	shard            int
+	weight           float64
+	tried            []*server // one for each attempt
+	spent            int       // attempts of those that it came from
+	open             []*attempt
+	done, dead, bare bool // answered; nothing more can be tried; its body is gone
+	wants            bool // waits to be placed
+	race             *race
+	decideAt         time.Duration
+	ran              bool          // an attempt may have run
+	firstRun         time.Duration // when the first that may have run was sent
 }
 
 // attempt is one send whose outcome is still to come.
@@ -167,8 +167,7 @@
 	alarm, askAt, askGap time.Duration
 }
 
-// New makes a router for the given settings. The same seed, settings and turns
-// give the same actions.
+// New makes a router. The same seed, settings and turns give the same actions.
 func New(set Settings, seed uint64) (*Router, error) {
 	if err := set.check(); err != nil {
 		return nil, err
@@ -188,8 +187,7 @@
 	}, nil
 }
 
-// Turn takes what happened up to now and returns what to do. The slice is
-// valid until the next turn.
+// Turn takes what happened up to now and returns what to do, valid until the next turn.
 func (r *Router) Turn(now time.Duration, events []Event) []Action {
 	r.now, r.actions = now, r.actions[:0]
 	for _, e := range events {
@@ -211,6 +209,10 @@
 			}
 		case Replaced:
 			r.replace(e)
+		case Bare:
+			if p := r.parts[e.ID]; p != nil {
+				p.bare, p.wants, p.dead = true, false, len(p.open) == 0
+			}
 		case Warm:
 			r.probe(only(r.order, r.open), 0)
 		case ClientGone:
@@ -362,8 +364,7 @@
 	}
 }
 
-// value is the worth of a query for the work it asks, in class charges; what a tenant sends beyond
-// its share of this node's traffic is worth less.
+// value is a query's worth for its work, in class charges; beyond its tenant's share it is worth less.
 func (r *Router) value(q *query) float64 {
 	worth := q.class.Worth
 	if q.Tenant < len(r.tenants) {
@@ -403,8 +404,7 @@
 	return mean, worst
 }
 
-// reachable lists the replicas that may take a part, without those that lost probes in a row if others
-// are left: forecasts guard so against cut links. It could harm where probes are lost by chance alone.
+// reachable lists the replicas that may take a part, but for those that lost probes in a row: cut links.
 func (r *Router) reachable(shard int) []*server {
 	return prefer(only(r.replicas(shard), r.open), func(s *server) bool { return s.lost < lostGone })
 }
@@ -460,16 +460,18 @@
 }
 
 // tend looks after one open query: its answer, its end, its overdue parts. A safe query that lost
-// its last chance is refused rather than failed: asking again does no harm and is advised when.
+// its last chance is refused rather than failed: asking again does no harm and is advised when. One that
+// lost it as a body is gone is failed all the same if anything may have run: nothing here can repeat it.
 func (r *Router) tend(q *query) {
 	if q.closed {
 		return
 	}
-	in, may, waiting := q.in, 0.0, false
+	in, may, waiting, ran, bare := q.in, 0.0, false, q.in > 0, false
 	for _, p := range q.parts {
 		if p.wants {
 			r.waiting++
 		}
+		ran, bare = ran || p.ran || p.done, bare || p.bare && p.dead
 		if p.done {
 			in += p.weight
 		} else if !p.dead {
@@ -483,7 +485,7 @@
 	case whole, enough && (late || !waiting):
 		r.do(Answer{ID: q.ID, Whole: whole})
 		r.end(q)
-	case late, in+may < floor-rounding && q.class.Effect != Safe:
+	case late, in+may < floor-rounding && (q.class.Effect != Safe || ran && bare):
 		r.do(Fail{ID: q.ID})
 		r.end(q)
 	case in+may < floor-rounding:
@@ -542,8 +544,8 @@
 
 // mayResend tells whether a further attempt of a part is allowed now, as it is asked again on sending.
 func (r *Router) mayResend(p *part, hedge bool) bool {
-	if p.spent+len(p.tried) <= 0 {
-		return true
+	if p.bare || p.spent+len(p.tried) <= 0 {
+		return !p.bare
 	}
 	class, mayHaveRun := p.query.class, p.ran || len(p.open) > 0
 	if r.set.MaxAttempts > 0 && p.spent+len(p.tried) >= r.set.MaxAttempts ||
@@ -723,8 +725,7 @@
 	return s.report[i], true
 }
 
-// work is the load of a server in requests in hand: from the latest report, whatever its fields,
-// corrected by own parts sent and answered since, and set against its size.
+// work is a server's load in requests in hand, by its report and own parts since, set against its size.
 func (r *Router) work(s *server) float64 {
 	hand, ok := r.field(s, FieldInflight)
 	if !ok {
@@ -825,8 +826,7 @@
 	}
 }
 
-// renew asks for new reports in place of stale ones that had a query refused: with all refused none
-// would come. It costs a probe a server now and then, and could harm where probes are dear.
+// renew asks for new reports in place of stale ones that had a query refused, or none would come.
 func (r *Router) renew(q *query) {
 	stale := time.Duration(reportStale * r.typical(q.Class))
 	for _, p := range q.parts {
@@ -893,8 +893,7 @@
 	}))
 }
 
-// fallback picks by this node's own part latencies: the lowest median of the window, a replica
-// not heard from counting as the average of the others.
+// fallback picks the lowest median of this node's own part latencies; one not heard from is average.
 func (r *Router) fallback(p *part, list []*server) {
 	if len(list) == 0 {
 		p.race = nil
--- a/router_test.go
+++ b/router_test.go
@@ -1010,3 +1010,26 @@
 		t.Errorf("%d parts within a second to a cold server, at most %.1f are allowed", sent, allowed)
 	}
 }
+
+// A part whose body is gone is sent no more, neither again nor as a second copy, and its query ends as
+// soon as the rest cannot reach the floor: refused where nothing can have run, failed otherwise.
+func TestABareQueryEndsAtOnce(t *testing.T) {
+	for _, ran := range []bool{false, true} {
+		b := newBed(t, settings())
+		b.query(10, 0, 0)
+		s := b.sentTo(1, 2, 3)
+		b.turn(Bare{ID: 11})
+		expect[Send](t, b.after(4*time.Second), 0) // long overdue: no copy
+		expect[Refuse](t, b.last, 0)
+		code := map[bool]Code{false: Full, true: Reset}[ran]
+		out := b.after(5*ms, closed(11, 0, s, code, time.Second))
+		if len(of[Fail](out)) != map[bool]int{true: 1}[ran] || len(of[Refuse](out)) != map[bool]int{false: 1}[ran] {
+			t.Errorf("ran %v: %v", ran, out)
+		}
+	}
+	b := newBed(t, settings())
+	b.turn(b.arrivals(10, 0, 0)...)
+	b.turn(Bare{ID: 11}) // before anything was sent
+	expect[Send](t, b.last, 0)
+	expect[Refuse](t, b.last, 1)
+}
