Large bodies go to the store while they arrive; searches are read token by token

A body above 4 KiB is handed on in pieces of 16 KiB and never lies in memory whole: the search front reads it from where it lies, and writes the parts' text from there. The search front's limit is a setting (max_body_kib); [bodies] sets budgets, files, floors and shares, checked against the limit on memory. The platform keeps its 64 KiB; its parts share one text now instead of a copy each.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -40,6 +40,7 @@
 	catalog.Catalog
 	Store   store.Config `toml:"store"`
 	Reshape Reshape      `toml:"reshape"`
+	Bodies  Bodies       `toml:"bodies"`
 }
 
 const DefaultSearchFile = "deploy/opensearch.toml"
@@ -60,6 +61,9 @@
 	if err := c.Check(); err != nil {
 		return c, fmt.Errorf("search front %s: %w", path, err)
 	}
+	if err := c.Bodies.check(); err != nil {
+		return c, fmt.Errorf("search front %s: %w", path, err)
+	}
 	if _, _, err := c.Reshape.pace(time.Second); err != nil {
 		return c, fmt.Errorf("search front %s: %w", path, err)
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log"
@@ -17,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"linkpass/internal/bodies"
+	"linkpass/internal/bodies/tier"
 	"linkpass/internal/catalog"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
@@ -48,23 +51,25 @@
 
 // Program is what runs: the core, what it stands on, and its fronts.
 type Program struct {
-	cfg     Config
-	count   *counters.Set
-	figures *counters.Figures
-	core    *coordinator.Core
-	links   *link.Set
-	watcher *discovery.Watcher
-	store   *store.Store // nil: off
-	opened  atomic.Pointer[store.Store]
-	layouts *layouts
-	steward *steward.Steward // of the layouts; nil: no store
-	gate    operator.Gate
-	fronts  []*http1.Server
-	lns     []net.Listener // of the fronts, in their order
-	door    *http1.Server  // nil: none
-	doorLn  net.Listener
-	dials   *peer.Places // connections that all league servers may take
-	current atomic.Pointer[func() *catalog.Catalog]
+	cfg        Config
+	count      *counters.Set
+	figures    *counters.Figures
+	core       *coordinator.Core
+	links      *link.Set
+	watcher    *discovery.Watcher
+	store      *store.Store // nil: off
+	opened     atomic.Pointer[store.Store]
+	layouts    *layouts
+	steward    *steward.Steward // of the layouts; nil: no store
+	bodies     *bodies.Store
+	bodyLimits tier.Limits // of all processes together
+	gate       operator.Gate
+	fronts     []*http1.Server
+	lns        []net.Listener // of the fronts, in their order
+	door       *http1.Server  // nil: none
+	doorLn     net.Listener
+	dials      *peer.Places // connections that all league servers may take
+	current    atomic.Pointer[func() *catalog.Catalog]
 
 	post  *handover.Post
 	alone chan struct{} // told when no other process of this coordinator runs any more
@@ -122,6 +127,9 @@
 	if p.core != nil {
 		p.core.Room(s.Open)
 	}
+	if p.bodies != nil {
+		p.bodies.Limit(p.bodyLimits.Memory/int64(s.Processes), p.bodyLimits.Files/int64(s.Processes))
+	}
 	if s.Processes == 1 {
 		select {
 		case p.alone <- struct{}{}:
@@ -199,6 +207,7 @@
 				p.reload(os.Getenv)
 			} else {
 				p.count.Print("signal")
+				p.printBodies()
 			}
 		case <-term.Done():
 			serving = false
@@ -236,6 +245,8 @@
 		p.door.Close()
 	}
 	p.post.Close()
+	p.printBodies()
+	p.bodies.Close()
 	p.count.Print("exit")
 	log.Printf("event=stopped")
 	return err
@@ -274,6 +285,9 @@
 			if made.store != nil {
 				_ = made.store.Close()
 			}
+			if made.bodies != nil {
+				made.bodies.Close()
+			}
 			made.post.Close()
 		}
 	}()
@@ -290,8 +304,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.openBodies(); err != nil {
+		return nil, err
+	}
 	thin := &platform.Front{Core: p.core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: p.count}
-	thin.Ready = p.gate.Ready
+	thin.Ready, thin.Bodies, thin.Retry = p.gate.Ready, p.bodies, p.retry()
+	for _, class := range cfg.module.Classes {
+		thin.Worth = append(thin.Worth, class.Worth)
+	}
 	ln, err := clientListener(cfg)
 	if err != nil {
 		return nil, err
@@ -387,8 +407,10 @@
 	if p.store != nil {
 		front.Changes = p.store
 	}
+	front.Bodies = p.bodies
 	for i, name := range p.cfg.host.Classes {
-		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline})
+		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline,
+			Worth: p.cfg.module.Classes[i].Worth})
 	}
 	ln, err := net.Listen("tcp", p.cfg.Search.Listen)
 	if err != nil {
@@ -398,6 +420,8 @@
 		return fmt.Errorf("front search: %w", err)
 	}
 	p.add("search", ln, front)
+	server := p.fronts[len(p.fronts)-1]
+	server.MaxBody, server.Spools = cmp.Or(p.cfg.Search.Bodies.MaxKiB, maxBodyDefault)<<10, p.spools
 	return nil
 }
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -21,8 +21,9 @@
 
 // Error is a message that can't be taken; Status is what its sender is told.
 type Error struct {
-	Status int
-	Reason string
+	Status     int
+	Reason     string
+	RetryAfter string // seconds; "": no advice
 }
 
 func (e *Error) Error() string { return fmt.Sprintf("http1: %s (%d)", e.Reason, e.Status) }
@@ -36,9 +37,23 @@
 	Method, Path, Query string
 	Header              textproto.MIMEHeader
 	Body                []byte
-	Close               bool // the sender wants the connection closed
+	Spool               Spool // of a large body, in place of Body; nil: there is none
+	Close               bool  // the sender wants the connection closed
+}
+
+// Spool takes a large body in while it arrives, in pieces that it must not keep. An error of
+// Write that is an *Error is told to the client. Abort gives up what was taken, unless somebody
+// else has made use of it.
+type Spool interface {
+	Write(p []byte) (int, error)
+	Abort()
 }
 
+const (
+	spoolFrom  = 4 << 10  // bodies above this are spooled, where there is a spool
+	spoolPiece = 16 << 10 // bytes of a body that lie here at a time
+)
+
 // Response is one response.
 type Response struct {
 	Status int
@@ -53,6 +68,8 @@
 	buf     *bufio.Reader
 	text    *textproto.Reader
 	maxBody int64
+	// Spools makes the spool of a request's body, above a size; nil: it is to lie in Body.
+	Spools func(*Request) Spool
 }
 
 // NewReader reads from r; bodies may have up to maxBody bytes, 0 for MaxBody.
@@ -112,10 +129,51 @@
 		return nil, malformed(400, "need one Host header")
 	}
 	req.Close = closes(req.Header, minor)
-	req.Body, err = r.body(req.Header, false)
+	if r.Spools == nil {
+		req.Body, err = r.body(req.Header, false, nil)
+		return req, err
+	}
+	b := &spooled{req: req, make: r.Spools}
+	if req.Body, err = r.body(req.Header, false, b); err != nil && req.Spool != nil {
+		req.Spool.Abort()
+		req.Spool = nil
+	}
 	return req, err
 }
 
+// spooled moves a body to a spool once it is too large to lie in memory.
+type spooled struct {
+	req  *Request
+	make func(*Request) Spool
+}
+
+// over tells whether a body of so many bytes goes to a spool; from then on all of it does.
+func (b *spooled) over(n int64) bool {
+	if b == nil || n <= spoolFrom {
+		return false
+	}
+	if b.req.Spool == nil {
+		b.req.Spool = b.make(b.req)
+	}
+	return b.req.Spool != nil
+}
+
+// copy moves so many bytes from the connection to the spool.
+func (r *Reader) copy(to Spool, n int64) error {
+	buf := make([]byte, min(n, spoolPiece))
+	for n > 0 {
+		piece := buf[:min(n, spoolPiece)]
+		if _, err := io.ReadFull(r.buf, piece); err != nil {
+			return r.short(err)
+		}
+		if _, err := to.Write(piece); err != nil {
+			return err
+		}
+		n -= int64(len(piece))
+	}
+	return nil
+}
+
 // Response reads a response to a request that was no HEAD.
 func (r *Reader) Response() (*Response, error) {
 	for {
@@ -143,7 +201,7 @@
 		}
 		res.Close = closes(res.Header, minor)
 		if status != 204 && status != 304 {
-			res.Body, err = r.body(res.Header, true)
+			res.Body, err = r.body(res.Header, true, nil)
 		}
 		return res, err
 	}
@@ -191,7 +249,7 @@
 
 // body reads a body; one that is neither sized nor chunked is empty in a
 // request and lasts until the stream's end in a response.
-func (r *Reader) body(h textproto.MIMEHeader, untilEnd bool) ([]byte, error) {
+func (r *Reader) body(h textproto.MIMEHeader, untilEnd bool, spool *spooled) ([]byte, error) {
 	coding, lengths := h["Transfer-Encoding"], h["Content-Length"]
 	switch {
 	case len(coding) > 0 && len(lengths) > 0:
@@ -200,7 +258,7 @@
 	case len(coding) > 1 || len(coding) == 1 && !strings.EqualFold(coding[0], "chunked"):
 		return nil, malformed(501, "transfer encoding %q", coding)
 	case len(coding) == 1:
-		return r.chunks()
+		return r.chunks(spool)
 	case len(lengths) > 1:
 		return nil, malformed(400, "several lengths")
 	case len(lengths) == 1:
@@ -212,6 +270,9 @@
 			return nil, malformed(413, "body of %d bytes", n)
 		}
 		r.bounded.N = int64(n)
+		if spool.over(int64(n)) {
+			return nil, r.copy(spool.req.Spool, int64(n))
+		}
 		body := make([]byte, n)
 		if _, err := io.ReadFull(r.buf, body); err != nil {
 			return nil, r.short(err)
@@ -236,8 +297,9 @@
 	return err
 }
 
-func (r *Reader) chunks() ([]byte, error) {
+func (r *Reader) chunks(spool *spooled) ([]byte, error) {
 	var body []byte
+	var size int64
 	for {
 		r.bounded.N = MaxHeader
 		line, err := r.text.ReadLine()
@@ -249,7 +311,7 @@
 		if err != nil {
 			return nil, malformed(400, "bad chunk length")
 		}
-		if int64(len(body))+int64(n) > r.maxBody {
+		if size += int64(n); size > r.maxBody {
 			return nil, malformed(413, "chunks over %d bytes", r.maxBody)
 		}
 		if n == 0 {
@@ -260,6 +322,13 @@
 			return body, nil
 		}
 		r.bounded.N = int64(n) + 2
+		if spool.over(size) {
+			if err := r.chunkTo(spool.req.Spool, body, int64(n)); err != nil {
+				return nil, err
+			}
+			body = nil
+			continue
+		}
 		at := len(body)
 		body = append(body, make([]byte, n+2)...)
 		if _, err := io.ReadFull(r.buf, body[at:]); err != nil {
@@ -272,6 +341,26 @@
 	}
 }
 
+// chunkTo moves a chunk to a spool, behind what came before it.
+func (r *Reader) chunkTo(to Spool, before []byte, n int64) error {
+	if len(before) > 0 {
+		if _, err := to.Write(before); err != nil {
+			return err
+		}
+	}
+	if err := r.copy(to, n); err != nil {
+		return err
+	}
+	var mark [2]byte
+	if _, err := io.ReadFull(r.buf, mark[:]); err != nil {
+		return r.short(err)
+	}
+	if mark != [2]byte{'\r', '\n'} {
+		return malformed(400, "chunk without an end")
+	}
+	return nil
+}
+
 // reasons of the status codes in use.
 var reasons = map[int]string{
 	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"log"
 	"net"
+	"net/textproto"
 	"os"
 	"slices"
 	"sync"
@@ -62,6 +63,7 @@
 	Counters *counters.Set
 	MaxConns int
 	MaxBody  int64
+	Spools   func(*Request) Spool // of large bodies; nil: they lie in memory
 
 	lines    counters.Lines // on requests that can't be read
 	mu       sync.Mutex
@@ -313,6 +315,7 @@
 		s.wg.Done()
 	}()
 	reader := NewReader(c, s.MaxBody)
+	reader.Spools = s.Spools
 	next := make(chan error, 1)
 	await := func() { next <- reader.Wait() }
 	go await()
@@ -374,6 +377,9 @@
 // carry another.
 func (c *conn) answer(ctx context.Context, began time.Duration, req *Request) bool {
 	res := c.server.Handler.Serve(ctx, began, req)
+	if req.Spool != nil {
+		req.Spool.Abort() // whatever the handler has made use of stays
+	}
 	if ctx.Err() != nil {
 		c.server.Counters.Add(c.server.Name+"_unread", 1)
 		return false
@@ -404,7 +410,11 @@
 	}
 	c.server.Counters.Add(c.server.Name+"_malformed", 1)
 	c.server.lines.Printf("event=request_malformed front=%s status=%d reason=%q", c.server.Name, bad.Status, bad.Reason)
-	if c.write(&Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")}) {
+	res := &Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")}
+	if bad.RetryAfter != "" {
+		res.Header = textproto.MIMEHeader{"Retry-After": {bad.RetryAfter}}
+	}
+	if c.write(res) {
 		c.linger()
 	}
 }
--- a/internal/opensearch/errors.go
+++ b/internal/opensearch/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/textproto"
 
+	"linkpass/internal/coordinator"
 	"linkpass/internal/end"
 	"linkpass/internal/http1"
 )
@@ -65,9 +66,13 @@
 }
 
 // reasonOf words how a slice's latest attempt ended.
-func reasonOf(e end.End, tried bool) cause {
-	if !tried {
-		return cause{Type: "no_shard_available_action_exception", Reason: "no league server was tried"}
+func reasonOf(m coordinator.Miss) cause {
+	e, bare := m.Last, ""
+	if m.Bare {
+		bare = "; its body is not kept any more, so it was not sent again"
+	}
+	if !m.Tried {
+		return cause{Type: "no_shard_available_action_exception", Reason: "no league server was tried" + bare}
 	}
 	kind := "remote_transport_exception"
 	switch e {
@@ -81,8 +86,8 @@
 		kind = "receive_timeout_transport_exception"
 	case end.Moved, end.Ahead, end.Pieced:
 		kind = "illegal_index_shard_state_exception"
-	case end.CalledOff, end.Withheld:
+	case end.CalledOff, end.Withheld, end.Unkept:
 		kind = "task_cancelled_exception"
 	}
-	return cause{Type: kind, Reason: "the latest attempt ended as " + e.String()}
+	return cause{Type: kind, Reason: "the latest attempt ended as " + e.String() + bare}
 }
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"linkpass/internal/bodies"
 	"linkpass/internal/catalog"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
@@ -29,6 +30,7 @@
 type Class struct {
 	Name     string
 	Deadline time.Duration
+	Worth    float64
 }
 
 // Front answers searches.
@@ -39,6 +41,7 @@
 	Catalog  func() *catalog.Catalog
 	Settings http1.Handler // of /_cluster/settings
 	Changes  Changes       // of layouts; nil: they are a file's
+	Bodies   *bodies.Store // of large searches; nil: they lie in memory
 	Prefix   string        // makes this instance's names of searches its own
 	Counters *counters.Set
 
@@ -109,45 +112,59 @@
 
 // plan reads a search and finds its class and slices. Nothing is sent unless
 // all of it is known.
-func (f *Front) plan(index string, req *http1.Request) (search, *cause) {
+func (f *Front) plan(index string, req *http1.Request) (s search, body coordinator.Body, bad *cause) {
 	settings := f.Catalog()
 	where, ok := settings.Indices[index]
 	if !ok {
-		return search{}, noIndex(index)
+		return s, nil, noIndex(index)
 	}
-	s, bad := readSearch(req.Query, req.Body, settings)
-	if bad != nil {
-		return s, bad
+	class := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Name == where.Class })
+	if req.Spool != nil {
+		s, body, bad = f.readLarge(max(0, class), req, settings)
+	} else {
+		s, bad = readSearch(req.Query, req.Body, settings)
 	}
-	s.index = index
+	if bad == nil {
+		s.index, s.class = index, class
+		bad = f.place(&s, where, settings)
+	}
+	if bad != nil && body != nil {
+		body.Release()
+		body = nil
+	}
+	return s, body, bad
+}
+
+// place finds a search's slices or keys.
+func (f *Front) place(s *search, where catalog.Index, settings *catalog.Catalog) (bad *cause) {
+	index := s.index
 	if l := settings.Layout(index); l != nil {
 		if s.wanted, bad = s.wantedKeys(l); bad != nil {
-			return s, bad
+			return bad
 		}
 	} else if s.slices = where.Slices; s.preferred != nil {
 		s.slices = s.preferred
 	}
 	if s.wanted == nil && (s.ranges != nil || s.routing != nil) {
-		return s, badRequest("illegal_argument_exception", fmt.Sprintf("index [%s] has a fixed layout: neither routing nor _ranges is known there", index))
+		return badRequest("illegal_argument_exception", fmt.Sprintf("index [%s] has a fixed layout: neither routing nor _ranges is known there", index))
 	}
 	for _, slice := range s.slices {
 		if !slices.Contains(where.Slices, slice) || slice >= f.Shards {
-			return s, &cause{Type: "shard_not_found_exception", Reason: fmt.Sprintf("no such shard [%d] in index [%s]", slice, index), Index: index, Status: 404}
+			return &cause{Type: "shard_not_found_exception", Reason: fmt.Sprintf("no such shard [%d] in index [%s]", slice, index), Index: index, Status: 404}
 		}
 	}
-	s.class = slices.IndexFunc(f.Classes, func(c Class) bool { return c.Name == where.Class })
 	if s.class < 0 {
-		return s, &cause{Type: "illegal_state_exception", Reason: fmt.Sprintf("index [%s] is of class [%s], which is not served here", index, where.Class), Index: index, Status: 500}
+		return &cause{Type: "illegal_state_exception", Reason: fmt.Sprintf("index [%s] is of class [%s], which is not served here", index, where.Class), Index: index, Status: 500}
 	}
 	if limit := f.Classes[s.class].Deadline; s.timeout <= 0 || s.timeout > limit {
 		s.timeout = limit
 	}
-	return s, nil
+	return nil
 }
 
 // search puts one search through the core.
 func (f *Front) search(ctx context.Context, began time.Duration, index string, req *http1.Request) *http1.Response {
-	s, refusal := f.plan(index, req)
+	s, body, refusal := f.plan(index, req)
 	if refusal != nil {
 		return f.reject(refusal)
 	}
@@ -162,7 +179,7 @@
 	done := make(chan coordinator.Answer, 1)
 	leave := f.Core.Submit(coordinator.Query{
 		Name: f.Prefix + "-" + strconv.FormatUint(f.searches.Add(1), 10), Collection: index, Class: s.class,
-		Began: began, Timeout: s.timeout, Parts: parts, Wanted: s.wanted, Text: text, Reply: func(a coordinator.Answer) { done <- a },
+		Began: began, Timeout: s.timeout, Parts: parts, Wanted: s.wanted, Text: text, Body: body, Reply: func(a coordinator.Answer) { done <- a },
 	})
 	var a coordinator.Answer
 	select {
@@ -181,7 +198,7 @@
 		counts.Total, counts.Successful = len(a.Values)+len(a.Missing), len(a.Values)
 	}
 	for _, m := range a.Missing {
-		lost := failure{Shard: m.Shard, Index: s.index, Reason: reasonOf(m.Last, m.Tried)}
+		lost := failure{Shard: m.Shard, Index: s.index, Reason: reasonOf(m)}
 		if m.Ask != nil {
 			lost.Shard, lost.Range, lost.Version = int(m.Ask.Slice), m.Ask.Range.String(), m.Ask.Version
 		}
--- /dev/null
+++ b/internal/opensearch/large_test.go
@@ -0,0 +1,116 @@
+package opensearch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/bodies"
+	"linkpass/internal/bodies/tier"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/http1"
+)
+
+// large is a front with a store, and a search's body on its way in.
+func large(t *testing.T, k *core, l tier.Limits, body string) (*Front, *http1.Request, *bodies.Store) {
+	s := bodies.Open(bodies.Config{Limits: l, Dir: t.TempDir(), Counters: counters.New(), Now: func() time.Duration { return 0 }})
+	t.Cleanup(s.Close)
+	f := front(k)
+	f.Bodies = s
+	w := &Arriving{Writer: s.Arrive(1, 1), Refused: &http1.Error{Status: 429}}
+	if _, err := io.WriteString(w, body); err != nil {
+		t.Fatal(err)
+	}
+	return f, &http1.Request{Method: "POST", Path: "/players/_search", Spool: w}, s
+}
+
+func terms(n int) string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("%q", fmt.Sprint("player-", i)))
+	}
+	return `{"bool": {"must": [{"terms":{"id": [` + strings.Join(ids, ", ") + `]}}]} }`
+}
+
+// A large search is read where it lies, and what the parts send is its query with our from and size; once
+// it is answered nothing is kept.
+func TestALargeSearchIsReadWhereItLies(t *testing.T) {
+	for _, limits := range []tier.Limits{{Memory: 4 << 20, Files: 0, Largest: 4 << 20}, {Memory: 64 << 10, Files: 4 << 20, Largest: 16 << 10}} {
+		query := terms(20_000)
+		var text []byte
+		k := &core{answer: func(q coordinator.Query) coordinator.Answer {
+			if q.Body == nil || len(q.Parts[0].Text) > 100 && string(q.Parts[0].Text) != `{"from":0,"query":{"match_all":{}},"size":7}` {
+				t.Errorf("%+v", q)
+			}
+			r, err := q.Body.Open()
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, _ = io.ReadAll(r)
+			_ = r.Close()
+			q.Body.Release()
+			return coordinator.Answer{Verdict: coordinator.Answered, Whole: true}
+		}}
+		f, req, s := large(t, k, limits, `{"size": 5, "query" : `+query+`, "timeout":"300ms", "from":2}`)
+		res := f.Serve(context.Background(), 0, req)
+		if res.Status != 200 || k.queries[0].Timeout != 300*time.Millisecond {
+			t.Fatalf("%d %s", res.Status, res.Body)
+		}
+		if want := `{"from":0,"query":` + query + `,"size":7}`; string(text) != want {
+			t.Errorf("sent %d bytes %.60q, want %d", len(text), text, len(want))
+		}
+		if f := s.Figures(); f.Bodies != 0 || f.Memory+f.Files != 0 {
+			t.Errorf("left: %+v", f)
+		}
+	}
+}
+
+// What can't be served is refused by its reason, sends nothing and leaves nothing.
+func TestALargeSearchThatIsNone(t *testing.T) {
+	for body, kind := range map[string]string{
+		`{"query":` + terms(2000) + `,"aggs":{}}`:                             "parsing_exception",
+		`{"query":` + terms(2000):                                             "json_parse_exception",
+		`{"query":{"knn":` + terms(2000) + `}}`:                               "parsing_exception",
+		`{"from":99999,"query":` + terms(2000) + `}`:                          "illegal_argument_exception",
+		`{"timeout":"soon","query":` + terms(10) + `}`:                        "illegal_argument_exception",
+		`{"query":{"match":{"a":"` + strings.Repeat("x", 2*maxToken) + `"}}}`: "json_parse_exception",
+	} {
+		k := &core{answer: whole}
+		f, req, s := large(t, k, tier.Limits{Memory: 8 << 20, Largest: 8 << 20}, body)
+		res := f.Serve(context.Background(), 0, req)
+		var out struct{ Error struct{ Type string } }
+		_ = json.Unmarshal(res.Body, &out)
+		if res.Status != 400 || out.Error.Type != kind || len(k.queries) != 0 || s.Figures().Bodies != 0 {
+			t.Errorf("%.40s: %d %s, %d queries, %+v", body, res.Status, res.Body, len(k.queries), s.Figures())
+		}
+	}
+}
+
+// The scanner takes what a decoder of the whole takes, and finds the same query.
+func TestTheScannerFindsTheQuery(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		space := rapid.StringMatching(`[ \n\t]{0,3}`)
+		query := rapid.SampledFrom([]string{`{"match_all":{}}`, `{"bool":{"must":{"ids":{"values":["a",1,null,{"x":[]}]}},"boost":2}}`,
+			`{"term":{"a":"}\"]"}}`}).Draw(t, "query")
+		var fields []string
+		for _, f := range []string{`"from"%s:%s3`, `"query"%s:%s` + query, `"size"%s:%snull`, `"timeout"%s:%s"1s"`} {
+			fields = append(fields, fmt.Sprintf(f, space.Draw(t, "s"), space.Draw(t, "s")))
+		}
+		body := "{" + strings.Join(rapid.Permutation(fields).Draw(t, "order"), space.Draw(t, "s")+","+space.Draw(t, "s")) + "}"
+		got, err := scanSearch(strings.NewReader(body))
+		if err != nil || *got.from != 3 || got.size != nil || *got.timeout != "1s" {
+			t.Fatalf("%s: %+v %v", body, got, err)
+		}
+		if found := bytes.TrimRight(afterColon([]byte(body[got.queryFrom:got.queryTo])), " "); string(found) != query {
+			t.Fatalf("found %q, want %q", found, query)
+		}
+	})
+}
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -45,7 +45,7 @@
 
 func front(c *core) *Front {
 	return &Front{Core: c, Shards: 6, Prefix: "n0", Counters: counters.New(), Catalog: settings,
-		Classes:  []Class{{"league-table", 5 * time.Second}, {"team-lookup", 2500 * time.Millisecond}},
+		Classes:  []Class{{"league-table", 5 * time.Second, 3}, {"team-lookup", 2500 * time.Millisecond, 1}},
 		Settings: FixedSettings(settings())}
 }
 
--- a/internal/opensearch/query.go
+++ b/internal/opensearch/query.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net/url"
 	"slices"
@@ -32,18 +30,10 @@
 	allowPartial bool
 }
 
-// searchBody is what a search's body may hold. Anything else is refused, never
-// ignored: an answer to another question would be no answer.
-type searchBody struct {
-	Query   json.RawMessage `json:"query"`
-	From    *int            `json:"from"`
-	Size    *int            `json:"size"`
-	Timeout *string         `json:"timeout"`
-}
-
 const (
 	defaultSize = 10
 	maxDepth    = 16   // of nested bool queries
+	maxNesting  = 64   // of other values
 	maxChoices  = 1024 // shards, ranges or routing values of a search
 )
 
@@ -60,16 +50,21 @@
 	if err = s.readParams(params); err != nil {
 		return s, err
 	}
+	return s, s.checkWindow(settings)
+}
+
+// checkWindow holds from and size to the limits.
+func (s *search) checkWindow(settings *catalog.Catalog) error {
 	switch {
 	case s.from < 0:
-		return s, badRequest("illegal_argument_exception", "[from] parameter cannot be negative")
+		return badRequest("illegal_argument_exception", "[from] parameter cannot be negative")
 	case s.size < 0:
-		return s, badRequest("illegal_argument_exception", "[size] parameter cannot be negative")
+		return badRequest("illegal_argument_exception", "[size] parameter cannot be negative")
 	case s.from > settings.Window() || s.size > settings.Window()-s.from:
-		return s, badRequest("illegal_argument_exception", fmt.Sprintf(
+		return badRequest("illegal_argument_exception", fmt.Sprintf(
 			"Result window is too large, from + size must be less than or equal to: [%d]", settings.Window()))
 	}
-	return s, nil
+	return nil
 }
 
 // readSearch is parseSearch with its error as a cause.
@@ -84,38 +79,35 @@
 	return s, nil
 }
 
+// readBody reads a body that lies here.
 func (s *search) readBody(data []byte) error {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	var b searchBody
-	if err := d.Decode(&b); err != nil {
-		var syntax *json.SyntaxError
-		if errors.As(err, &syntax) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-			return badRequest("json_parse_exception", err.Error())
-		}
-		return badRequest("parsing_exception", err.Error())
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return badRequest("json_parse_exception", "something follows the search")
+	b, err := scanSearch(bytes.NewReader(data))
+	if err != nil {
+		return err
 	}
-	if b.Query != nil {
-		if err := checkQuery(b.Query, 0); err != nil {
-			return err
-		}
+	if b.queryTo > 0 {
 		var compact bytes.Buffer
-		if err := json.Compact(&compact, b.Query); err != nil {
+		if err := json.Compact(&compact, afterColon(data[b.queryFrom:b.queryTo])); err != nil {
 			return badRequest("json_parse_exception", err.Error())
 		}
 		s.query = compact.Bytes()
 	}
-	if b.From != nil {
-		s.from = *b.From
+	return s.takeBody(b)
+}
+
+// afterColon is a value without the colon before it.
+func afterColon(b []byte) []byte { return bytes.TrimLeft(b, " \t\r\n:") }
+
+// takeBody takes what a body says beside its query.
+func (s *search) takeBody(b scanned) error {
+	if b.from != nil {
+		s.from = *b.from
 	}
-	if b.Size != nil {
-		s.size = *b.Size
+	if b.size != nil {
+		s.size = *b.size
 	}
-	if b.Timeout != nil {
-		return s.readTimeout(*b.Timeout)
+	if b.timeout != nil {
+		return s.readTimeout(*b.timeout)
 	}
 	return nil
 }
@@ -135,6 +127,7 @@
 	if err != nil {
 		return badRequest("illegal_argument_exception", err.Error())
 	}
+	s.preferred, s.ranges = nil, nil
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		text := values.Get(name)
 		switch name {
@@ -211,51 +204,3 @@
 	"match": true, "match_phrase": true, "match_phrase_prefix": true, "term": true, "terms": true,
 	"prefix": true, "wildcard": true, "fuzzy": true, "range": true,
 }
-
-// checkQuery refuses a query that the league servers are not known to support.
-func checkQuery(data json.RawMessage, depth int) error {
-	if depth > maxDepth {
-		return badRequest("parsing_exception", "queries are nested too deep")
-	}
-	var clause map[string]json.RawMessage
-	if err := json.Unmarshal(data, &clause); err != nil || len(clause) != 1 {
-		return badRequest("parsing_exception", "[query] must be an object with one query type")
-	}
-	for name, body := range clause {
-		var object map[string]json.RawMessage
-		if err := json.Unmarshal(body, &object); err != nil || object == nil {
-			return badRequest("parsing_exception", fmt.Sprintf("[%.40s] query malformed, no start_object after query name", name))
-		}
-		field, known := leaves[name]
-		switch {
-		case name == "bool":
-			return checkBool(object, depth)
-		case !known:
-			return badRequest("parsing_exception", fmt.Sprintf("unknown query [%.40s]", name))
-		case field && len(object) != 1:
-			return badRequest("parsing_exception", fmt.Sprintf("[%s] query needs one field", name))
-		}
-	}
-	return nil
-}
-
-func checkBool(object map[string]json.RawMessage, depth int) error {
-	for _, key := range slices.Sorted(maps.Keys(object)) {
-		switch key {
-		case "must", "should", "filter", "must_not":
-			var list []json.RawMessage
-			if json.Unmarshal(object[key], &list) != nil {
-				list = []json.RawMessage{object[key]}
-			}
-			for _, inner := range list {
-				if err := checkQuery(inner, depth+1); err != nil {
-					return err
-				}
-			}
-		case "minimum_should_match", "boost":
-		default:
-			return badRequest("parsing_exception", fmt.Sprintf("[bool] query does not support [%.40s]", key))
-		}
-	}
-	return nil
-}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"linkpass/internal/bodies"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
 	"linkpass/internal/http1"
@@ -31,6 +32,9 @@
 	Shards   int
 	Counters *counters.Set
 	Ready    func() bool
+	Bodies   *bodies.Store // of large texts; nil: they lie in memory
+	Worth    []float64     // of the classes, by number
+	Retry    string        // what a client is told whose body finds no room, in seconds; "": nothing
 
 	lines counters.Lines // on requests that are no query
 
@@ -82,6 +86,14 @@
 		return &http1.Response{Status: status, Body: []byte(err.Error() + "\n")}
 	}
 	defer f.leave(query.Name)
+	if !f.keep(&query) {
+		f.Counters.Add("platform_no_room", 1)
+		res := &http1.Response{Status: 503, Body: []byte("no room for the query's text\n"), Header: textproto.MIMEHeader{}}
+		if f.Retry != "" {
+			res.Header.Set("Retry-After", f.Retry)
+		}
+		return res
+	}
 	query.Began = began
 	done := make(chan coordinator.Answer, 1)
 	query.Reply = func(a coordinator.Answer) { done <- a }
@@ -95,6 +107,27 @@
 	}
 }
 
+// keep hands a large text to the store of bodies. It is false where that has no room.
+func (f *Front) keep(q *coordinator.Query) bool {
+	text := q.Parts[0].Text // the same for all
+	if f.Bodies == nil || len(text) <= bodies.Small {
+		return true
+	}
+	w := f.Bodies.Arrive(q.Class, f.Worth[q.Class])
+	if _, err := w.Write(text); err != nil {
+		return false
+	}
+	body, err := w.Done()
+	if err != nil {
+		return false
+	}
+	q.Body = body
+	for i := range q.Parts {
+		q.Parts[i].Text = nil
+	}
+	return true
+}
+
 // enter notes that a query is open. It guards an open query against another client
 // that takes its name: the parts of the two could not be told apart on the wire.
 func (f *Front) enter(name string) bool {
@@ -156,7 +189,7 @@
 	if b.Expr == nil || len(b.Parts) == 0 {
 		return nil, fmt.Errorf("body needs expr and parts")
 	}
-	seen, sum := map[int]bool{}, 0.0
+	seen, sum, text := map[int]bool{}, 0.0, []byte(*b.Expr) // once, for all parts
 	parts := make([]coordinator.Part, 0, len(b.Parts))
 	for _, p := range b.Parts {
 		if p.ID == nil || *p.ID < 0 || *p.ID >= f.Shards || seen[*p.ID] {
@@ -175,7 +208,7 @@
 		}
 		seen[*p.ID] = true
 		parts = append(parts, coordinator.Part{Shard: *p.ID, Weight: p.W, Key: key,
-			Hint: time.Duration(p.Hint) * time.Microsecond, Text: []byte(*b.Expr)})
+			Hint: time.Duration(p.Hint) * time.Microsecond, Text: text})
 	}
 	if math.Abs(sum-1) > rounding { // what is missing from such a query could not be told honestly
 		return nil, fmt.Errorf("body: the weights add up to %g", sum)
@@ -198,12 +231,22 @@
 		return &http1.Response{Status: 200, Body: data,
 			Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}}
 	case coordinator.Refused:
-		res := &http1.Response{Status: 503}
+		res := &http1.Response{Status: 503, Body: []byte(bare(a))}
 		if a.RetryAfter > 0 {
 			seconds := strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)
 			res.Header = textproto.MIMEHeader{"Retry-After": {seconds}}
 		}
 		return res
 	}
-	return &http1.Response{Status: 500, Body: []byte("failed\n")}
+	return &http1.Response{Status: 500, Body: []byte("failed\n" + bare(a))}
+}
+
+// bare words that a query ended because its text could not be sent again.
+func bare(a coordinator.Answer) string {
+	for _, m := range a.Missing {
+		if m.Bare {
+			return "its text is not kept any more, so it was not sent again\n"
+		}
+	}
+	return ""
 }
