--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -22,6 +22,7 @@
 	FilesKiB   int64                `toml:"files_kib"`    // of bodies in files; 0: there are none
 	Dir        string               `toml:"dir"`          // of these files
 	MaxKiB     int64                `toml:"max_body_kib"` // of a search's body
+	Off        bool                 `toml:"off"`          // every body lies in memory until its query ends, without a bound
 	Classes    map[string]ClassPart `toml:"classes"`
 }
 
@@ -90,6 +91,9 @@
 		return err
 	}
 	p.bodyLimits = l
+	if p.cfg.Search.Bodies.Off {
+		return nil
+	}
 	share := int64(max(1, p.share.Processes))
 	mine := l
 	mine.Memory, mine.Files = l.Memory/share, l.Files/share
@@ -120,6 +124,9 @@
 
 // printBodies logs what the store of bodies holds.
 func (p *Program) printBodies() {
+	if p.bodies == nil {
+		return
+	}
 	f := p.bodies.Figures()
 	log.Printf("event=bodies held=%d shared=%d arriving=%d waiting=%d memory=%d files=%d disk=%d",
 		f.Bodies, f.Shared, f.ArrivingBodies, f.WaitingBodies, f.Memory, f.Files, f.Disk)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -246,7 +246,9 @@
 	}
 	p.post.Close()
 	p.printBodies()
-	p.bodies.Close()
+	if p.bodies != nil {
+		p.bodies.Close()
+	}
 	p.count.Print("exit")
 	log.Printf("event=stopped")
 	return err
@@ -421,7 +423,10 @@
 	}
 	p.add("search", ln, front)
 	server := p.fronts[len(p.fronts)-1]
-	server.MaxBody, server.Spools = cmp.Or(p.cfg.Search.Bodies.MaxKiB, maxBodyDefault)<<10, p.spools
+	server.MaxBody = cmp.Or(p.cfg.Search.Bodies.MaxKiB, maxBodyDefault) << 10
+	if p.bodies != nil {
+		server.Spools = p.spools
+	}
 	return nil
 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -129,12 +129,15 @@
 }
 
 // serve starts a server whose handler hands each request to the test.
-func serve(t *testing.T, h HandlerFunc, conns int) (*Server, string) {
+func serve(t *testing.T, h HandlerFunc, conns int, changes ...func(*Server)) (*Server, string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &Server{Name: "test", Handler: h, Clock: new(clock), Counters: counters.New(), MaxConns: conns}
+	for _, change := range changes {
+		change(s)
+	}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ln) }()
 	t.Cleanup(func() { ln.Close(); s.Stop(); <-done })
