--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -18,7 +18,9 @@
 type commands struct {
 	Run struct {
 		Reshape reshapeCommand `cmd:"" help:"Reshape slices under load, against a still layout and against refusing moved parts."`
+		Bodies  bodiesCommand  `cmd:"" help:"Keep bodies in memory, in files and nowhere, with servers that fail and stall."`
 	} `cmd:"" help:"Run an experiment; its last line is figures, and it exits 1 if a rule broke."`
+	Hold  holdCommand  `cmd:"" hidden:""`
 	Fleet fleetCommand `cmd:"" help:"Run a stand-in fleet and its discovery in the foreground, and print how to start a coordinator against it."`
 }
 
@@ -75,6 +77,32 @@
 	return err
 }
 
+type bodiesCommand struct {
+	common
+	Rate    float64 `help:"Queries a second in each run." default:"30"`
+	BodyKiB int     `name:"body-kib" help:"Size of a query's body." default:"24"`
+	Memory  bool    `help:"Measure resident memory with 10,000 bodies too." default:"true" negatable:""`
+}
+
+// Run runs the experiment.
+func (c *bodiesCommand) Run() error {
+	if err := c.logs(); err != nil {
+		return err
+	}
+	ok, err := lab.BodiesRun(lab.BodiesConfig{Seeds: c.seeds(), Seconds: c.Seconds, Rate: c.Rate, BodyKiB: c.BodyKiB, Memory: c.Memory, Out: c.Out})
+	if err == nil && !ok {
+		err = fmt.Errorf("a rule broke")
+	}
+	return err
+}
+
+type holdCommand struct {
+	What string `arg:"" enum:"distinct,shared" help:"distinct or shared."`
+}
+
+// Run holds many bodies and prints what that takes; run bodies starts it.
+func (c *holdCommand) Run() error { return lab.Hold(c.What == "shared") }
+
 type fleetCommand struct {
 	Servers   int    `help:"League servers." default:"6"`
 	Slices    int    `help:"Slices of the index at the start." default:"4"`
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -239,9 +239,10 @@
 	ends   time.Duration
 	parts  []*part
 	due    *deadline.Entry
-	number uint64 // ties the module's parts to it
-	unsent int    // parts that are yet to be written
-	bare   bool   // its body is gone
+	number uint64        // ties the module's parts to it
+	unsent int           // parts that are yet to be written
+	bare   bool          // its body is gone
+	lostAt time.Duration // when, for want of the body, a part was left that nothing can answer
 
 	ground *ground          // nil: the layout is fixed
 	layout *layout.Layout   // the version that it was planned on
@@ -258,6 +259,7 @@
 	in       bool
 	gave     bool // way to others
 	unsent   bool // it is to be written, or again
+	failed   bool // it was left without an attempt that could answer
 	value    Value
 	last     end.End
 }
@@ -585,6 +587,7 @@
 	}
 	if q.Body != nil {
 		q.Body.Release()
+		c.late(q)
 	}
 	c.settle(q.Query, a)
 }
@@ -685,6 +688,9 @@
 		return
 	}
 	at := &attempt{id: AttemptID{a.ID, p.attempts}, part: p, server: a.Server, sent: now}
+	if p.attempts > 0 && p.out == 0 {
+		c.class("retries_made", p.query.Class)
+	}
 	p.attempts++
 	p.out++
 	c.unsent(p, true)
@@ -731,10 +737,14 @@
 	}
 	if r.End == end.Served && !p.in && !p.gave {
 		c.unsent(p, false)
+		if p.failed {
+			c.class("retries_won", p.query.Class)
+		}
 		p.in, p.value = true, Value{Shard: p.Shard, Ask: p.Ask, Data: r.Value, Score: r.Score, Hits: r.Hits}
 	}
-	if !p.in && !p.gave && p.out == 0 {
+	if !p.in && !p.gave && p.out == 0 && c.queries[p.query.id] != nil {
 		c.unsent(p, true) // the module may want it sent again
+		c.failed(p, r.At)
 	}
 	c.events = append(c.events, linkpass.Outcome{ID: id.Part, Attempt: id.No, Server: at.server,
 		Code: r.End.Code(), Took: max(0, r.At-at.sent), Final: p.in, Report: r.Report})
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -21,6 +22,7 @@
 	class  int
 	params string
 	wanted []layout.Range
+	body   string // "": every record
 }
 
 // draw makes the queries of a run: Poisson arrivals, a sixth of them league tables.
@@ -111,7 +113,7 @@
 func (w *world) one(n *node, q query, t *tally) {
 	c := classes[q.class]
 	began := time.Now()
-	status, body, err := w.ask(n, "POST", fmt.Sprintf("/%s/_search?%s", c.index, q.params), `{"size":100000}`)
+	status, body, err := w.ask(n, "POST", fmt.Sprintf("/%s/_search?%s", c.index, q.params), cmp.Or(q.body, `{"size":100000}`))
 	took := time.Since(began)
 	var a answer
 	if err == nil && status == 200 {
--- a/internal/lab/reshape.go
+++ b/internal/lab/reshape.go
@@ -159,12 +159,6 @@
 			totals[kind+name] += n
 		}
 	}
-	mean := func(list []float64) (m float64) {
-		for _, v := range list {
-			m += v / float64(len(list))
-		}
-		return m
-	}
 	if err := table.Write(c.Out); err != nil {
 		return false, err
 	}
--- a/internal/standin/search.go
+++ b/internal/standin/search.go
@@ -104,7 +104,7 @@
 // search answers one part.
 func (s *Server) search(w http.ResponseWriter, r *http.Request) {
 	s.came()
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 1<<20))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 64<<20))
 	w.Header().Set(headerLoad, s.report())
 	id, err := strconv.ParseUint(strings.TrimPrefix(r.URL.Query().Get("preference"), "_shards:"), 10, 64)
 	asked, err2 := layout.ParseRange(r.Header.Get(headerRange))
@@ -138,6 +138,10 @@
 		return
 	}
 	w.Header().Set(headerLoad, s.report())
+	if s.fails() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set(headerCovers, covers.String())
 	type hit struct {
 		ID    string  `json:"_id"`
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -43,6 +43,7 @@
 	held    map[string]*indexHeld
 	sources func(name string) string // addresses of other servers
 	slow    float64
+	fail    float64       // share of parts that end in an error
 	stalled time.Time     // it stands still until then
 	lie     uint64        // it claims this version, whatever it is asked
 	drained time.Time     // everyone was told by then that it drains
@@ -164,6 +165,12 @@
 // Slow makes its work take so many times as long.
 func (s *Server) Slow(by float64) { s.mu.Lock(); s.slow = by; s.mu.Unlock() }
 
+// Fail lets a share of its parts end in an error.
+func (s *Server) Fail(share float64) { s.mu.Lock(); s.fail = share; s.mu.Unlock() }
+
+// fails tells whether a part ends in an error.
+func (s *Server) fails() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.rng.Float64() < s.fail }
+
 // Lie lets it claim a version of the layout and hold nothing; 0: no more.
 func (s *Server) Lie(version uint64) { s.mu.Lock(); s.lie = version; s.mu.Unlock() }
 
