--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -388,6 +388,43 @@
 	}
 }
 
+// A large body arrives while a server stands still and every body held is yet to be written to it: none of these
+// is given up; the newcomer goes to a file, or is refused where there is none.
+func TestALargeBodyWhileAllOthersWait(t *testing.T) {
+	for _, files := range []int64{0, 8 << 20} {
+		s := newStore(t, tier.Limits{Memory: 256 << 10, Files: files, Largest: 1 << 20}, nil)
+		var held []*Body
+		for i := range 4 {
+			held = append(held, mustKeep(t, s, text(uint64(i), 60<<10)))
+		}
+		newcomer := text(9, 500<<10)
+		b, err := keep(s, 0, newcomer)
+		if files == 0 && !errors.Is(err, ErrNoRoom) || files > 0 && err != nil {
+			t.Fatalf("with %d bytes of files: %v", files, err)
+		}
+		if b != nil {
+			wantBody(t, b, newcomer)
+		}
+		for i, h := range held {
+			wantBody(t, h, text(uint64(i), 60<<10))
+		}
+	}
+}
+
+// The folder vanishes in the middle of a run: what needs a new file is refused or stays in memory, and
+// nothing else comes to harm.
+func TestTheFolderVanishes(t *testing.T) {
+	s := newStore(t, small, nil)
+	if err := os.RemoveAll(s.own); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := keep(s, 0, text(1, 600<<10)); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("%v", err)
+	}
+	data := text(2, 100<<10)
+	wantBody(t, mustKeep(t, s, data), data)
+}
+
 // Many bodies under a small budget stay under it, while many goroutines write, read and let go.
 func TestManyAtOnce(t *testing.T) {
 	s := newStore(t, tier.Limits{Memory: 512 << 10, Files: 1 << 20, Largest: 64 << 10}, nil)
--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log"
@@ -33,10 +34,11 @@
 }
 
 const (
-	memoryPart     = 8       // of the limit on memory one part in so many is for bodies
-	memoryMost     = 2       // and it may not be made more than one in so many: the rest is the program's
-	largestDefault = 1 << 10 // KiB
-	maxBodyDefault = 64      // KiB
+	memoryPart     = 8        // of the limit on memory one part in so many is for bodies
+	memoryMost     = 2        // and it may not be made more than one in so many: the rest is the program's
+	largestDefault = 1 << 10  // KiB
+	maxBodyDefault = 64       // KiB
+	unlimited      = 64 << 20 // bytes: what is taken for the limit where there is none
 	noRoomRetry    = 500 * time.Millisecond
 )
 
@@ -61,7 +63,7 @@
 	limit := int64(memoryMB) << 20
 	l := tier.Limits{Memory: b.MemoryKiB << 10, Files: b.FilesKiB << 10, Largest: b.LargestKiB << 10, Classes: make([]tier.Class, len(classes))}
 	if l.Memory == 0 {
-		l.Memory = max(limit, 64<<20) / memoryPart
+		l.Memory = cmp.Or(limit, unlimited) / memoryPart
 	}
 	if l.Largest == 0 {
 		l.Largest = min(largestDefault<<10, l.Memory)
--- /dev/null
+++ b/internal/platform/bench_test.go
@@ -0,0 +1,37 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"linkpass/internal/coordinator"
+	"linkpass/internal/http1"
+)
+
+// instant answers every query at once.
+type instant struct{}
+
+func (instant) Submit(q coordinator.Query) func() {
+	q.Reply(coordinator.Answer{Verdict: coordinator.Refused})
+	return func() {}
+}
+
+// A query with a small text through the front.
+func BenchmarkSmallQuery(b *testing.B) {
+	f := front(nil)
+	f.Core = instant{}
+	var parts []string
+	for i := range 5 {
+		parts = append(parts, fmt.Sprintf(`{"id":%d,"w":0.2,"hint":9000}`, i))
+	}
+	req := &http1.Request{Method: "POST", Path: "/checkout", Body: []byte(`{"parts":[` + strings.Join(parts, ",") + `],"expr":"c41e77d0"}`),
+		Header: map[string][]string{"X-Request-Id": {"9b1f"}, "X-Priority-Class": {"checkout"}, "X-Timeout-Ms": {"480"}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if res := f.Serve(context.Background(), 0, req); res.Status != 503 {
+			b.Fatalf("%d %s", res.Status, res.Body)
+		}
+	}
+}
