A command line for operators over a versioned API on a Unix socket, and a demo

kong commands: serve (also without one), check, config show, status, top, servers, drain, activate, slices, store, bodies, demo, completion, version; tables or JSON, exit codes 0 to 4. The API is off without [operator] socket.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Packages that hold state and do I/O.
 STATE = internal/bodies internal/catalog internal/coordinator internal/layout/steward internal/store
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build:
 	mkdir -p bin
@@ -30,6 +30,10 @@
 test: lint build
 	go test -race -count=1 ./...
 
+# A fleet, discovery and a coordinator on this machine, to try.
+demo: build
+	exec bin/linkpass demo
+
 # Needs the environment that README.md describes.
 run: build
 	exec bin/linkpass
--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -20,6 +20,7 @@
 		Reshape reshapeCommand `cmd:"" help:"Reshape slices under load, against a still layout and against refusing moved parts."`
 		Bodies  bodiesCommand  `cmd:"" help:"Keep bodies in memory, in files and nowhere, with servers that fail and stall."`
 	} `cmd:"" help:"Run an experiment; its last line is figures, and it exits 1 if a rule broke."`
+	Demo  demoCommand  `cmd:"" help:"A fleet, discovery and a coordinator, ready to be tried."`
 	Hold  holdCommand  `cmd:"" hidden:""`
 	Fleet fleetCommand `cmd:"" help:"Run a stand-in fleet and its discovery in the foreground, and print how to start a coordinator against it."`
 }
@@ -96,6 +97,19 @@
 	return err
 }
 
+type demoCommand struct {
+	Seed uint64 `help:"Seed." default:"1"`
+	Log  string `help:"File for the coordinator's log lines; dropped without."`
+}
+
+// Run runs the demo.
+func (c *demoCommand) Run() error {
+	if err := (common{Log: c.Log}).logs(); err != nil {
+		return err
+	}
+	return lab.RunDemo(c.Seed)
+}
+
 type holdCommand struct {
 	What string `arg:"" enum:"distinct,shared" help:"distinct or shared."`
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -133,6 +133,16 @@
 	return out
 }
 
+// Follows tells whether a document may come after an earlier one: versions of a layout only grow.
+func (c *Catalog) Follows(earlier *Catalog) error {
+	for name, l := range earlier.layouts {
+		if now := c.layouts[name]; now != nil && now.Version() < l.Version() {
+			return fmt.Errorf("%w: indices.%s.layout: version %d after %d", ErrInvalid, name, now.Version(), l.Version())
+		}
+	}
+	return nil
+}
+
 // layOut reads the layouts. What did not change since an earlier document is shared with it.
 func (c *Catalog) layOut(earlier *Catalog) error {
 	c.layouts = map[string]*layout.Layout{}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,151 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"linkpass/internal/control"
+	"linkpass/internal/daemon"
+)
+
+type checkCommand struct {
+	OpenSearch string `name:"opensearch" help:"The operators' file." default:"${search_file}" type:"path"`
+	FileOnly   bool   `help:"Leave the environment alone."`
+}
+
+// finding is one thing that is wrong.
+type finding struct {
+	Where string `json:"where"`
+	What  string `json:"what"`
+}
+
+// Run looks at everything that a start reads, and tells all that is wrong at once.
+func (c checkCommand) Run(e *env) error {
+	found := []finding{}
+	note := func(where string, err error) {
+		for _, line := range strings.Split(err.Error(), "\n") {
+			found = append(found, finding{where, line})
+		}
+	}
+	var cfg daemon.Config
+	if !c.FileOnly {
+		var err error
+		if cfg, err = daemon.Load(os.Getenv); err != nil {
+			note("environment", err)
+		}
+	}
+	search, err := daemon.LoadSearch(c.OpenSearch)
+	if err != nil {
+		note(c.OpenSearch, err)
+	}
+	if len(found) == 0 && !c.FileOnly {
+		cfg.Search = search
+		if err := cfg.Check(); err != nil {
+			note(c.OpenSearch, err)
+		}
+	}
+	if err := e.show(found, func(w io.Writer) {
+		for _, f := range found {
+			fmt.Fprintf(w, "%s\t%s\n", f.Where, f.What)
+		}
+		if len(found) == 0 {
+			fmt.Fprintln(w, "all is well")
+		}
+	}); err != nil {
+		return err
+	}
+	if len(found) > 0 {
+		return fmt.Errorf("%d faults", len(found))
+	}
+	return nil
+}
+
+type configCommands struct {
+	Show configShow `cmd:"" help:"The settings as they hold, and where each came from."`
+}
+
+type configShow struct {
+	Effective bool `help:"Those that a file or the environment did not set, too." default:"true" negatable:""`
+}
+
+// Run shows the settings of the running coordinator.
+func (c configShow) Run(e *env) error {
+	var all, list []control.Setting
+	if err := e.client.Call("GET", "/config", nil, &all); err != nil {
+		return err
+	}
+	for _, s := range all {
+		if c.Effective || s.Source != "default" {
+			list = append(list, s)
+		}
+	}
+	return e.show(list, func(w io.Writer) {
+		fmt.Fprintln(w, "KEY\tVALUE\tFROM")
+		for _, s := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", s.Key, s.Value, s.Source)
+		}
+	})
+}
+
+type demoCommand struct {
+	Args []string `arg:"" optional:"" passthrough:"" help:"Handed on to linkpass-lab demo."`
+}
+
+// Run starts the lab's demo, which is a program of its own: the daemon carries no stand-ins.
+func (c demoCommand) Run(e *env) error {
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	lab := filepath.Join(filepath.Dir(self), "linkpass-lab")
+	cmd := exec.Command(lab, append([]string{"demo"}, c.Args...)...)
+	cmd.Stdout, cmd.Stderr, cmd.Stdin = e.out, e.err, os.Stdin
+	signal.Ignore(os.Interrupt) // it is the demo's to end on
+	defer signal.Reset(os.Interrupt)
+	err = cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signaled() {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("demo: %s: %w", lab, err)
+	}
+	return nil
+}
+
+type completeCommand struct {
+	Shell string `arg:"" enum:"bash" default:"bash" help:"bash."`
+}
+
+// Run prints a script that completes commands and flags.
+func (completeCommand) Run(e *env) error {
+	fmt.Fprintln(e.out, "_linkpass() {\n  local words=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\" cur=\"${COMP_WORDS[COMP_CWORD]}\" list=\"\"\n  case \"$words\" in")
+	var walk func(n *kong.Node, path string)
+	walk = func(n *kong.Node, path string) {
+		var words []string
+		for _, child := range n.Children {
+			if !child.Hidden {
+				words = append(words, child.Name)
+				walk(child, strings.TrimSpace(path+" "+child.Name))
+			}
+		}
+		for _, group := range n.AllFlags(true) {
+			for _, f := range group {
+				words = append(words, "--"+f.Name)
+			}
+		}
+		fmt.Fprintf(e.out, "    %q) list=%q ;;\n", path, strings.Join(words, " "))
+	}
+	walk(e.app.Model.Node, "")
+	_, err := fmt.Fprintln(e.out, "  esac\n  COMPREPLY=($(compgen -W \"$list\" -- \"$cur\"))\n}\ncomplete -F _linkpass linkpass")
+	return err
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,186 @@
+// Package cli is linkpass's command line: the daemon, and commands for those who look after a
+// running one.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"linkpass/internal/control"
+	"linkpass/internal/daemon"
+)
+
+// Exit codes.
+const (
+	Done     = 0
+	Refused  = 1 // or failed
+	Misused  = 2 // the command line
+	Nobody   = 3 // no coordinator answers
+	TimedOut = 4 // what was waited for did not come
+)
+
+// errTimedOut says that what a command waited for did not come.
+var errTimedOut = errors.New("timed out")
+
+// commands is the whole command line.
+type commands struct {
+	Socket  string        `help:"Socket of the operators' API." env:"LINKPASS_SOCKET" default:"/run/linkpass/linkpass.sock"`
+	Output  string        `short:"o" enum:"table,json" default:"table" help:"table or json."`
+	Timeout time.Duration `help:"For one call, or for what --wait waits for." default:"5s"`
+
+	Serve    serveCommand    `cmd:"" default:"withargs" help:"Run the coordinator; also without a command."`
+	Check    checkCommand    `cmd:"" help:"Check the files and the environment; tell all that is wrong."`
+	Config   configCommands  `cmd:"" help:"Settings."`
+	Status   statusCommand   `cmd:"" help:"How the coordinator stands."`
+	Top      topCommand      `cmd:"" help:"A live view: service by class, servers, slices, bodies, store."`
+	Servers  serversCommand  `cmd:"" help:"What the coordinator believes of the league servers."`
+	Drain    drainCommand    `cmd:"" help:"Empty the coordinator: its clients are led elsewhere."`
+	Activate activateCommand `cmd:"" help:"Take clients again."`
+	Slices   sliceCommands   `cmd:"" help:"Slices: show, split, move, merge, abandon, resume, watch."`
+	Store    storeCommands   `cmd:"" help:"The replicated store."`
+	Bodies   bodiesCommand   `cmd:"" help:"Where bodies kept for retries lie."`
+	Demo     demoCommand     `cmd:"" help:"A fleet, discovery and a coordinator on this machine, to try."`
+	Complete completeCommand `cmd:"" name:"completion" help:"Print a completion script for bash."`
+	Version  versionCommand  `cmd:"" help:"The program's version."`
+}
+
+// env is what a command works with.
+type env struct {
+	out    io.Writer
+	err    io.Writer
+	cli    *commands
+	client *control.Client
+	app    *kong.Kong
+}
+
+// Main runs one command line and tells the exit code.
+func Main(args []string, out, errOut io.Writer) (code int) {
+	var c commands
+	e := &env{out: out, err: errOut, cli: &c}
+	exited := -1
+	app, err := kong.New(&c, kong.Name("linkpass"), kong.Vars{"search_file": daemon.DefaultSearchFile}, kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+		kong.Description("The coordinator of a sharded query service, and what its operators need. "+
+			"Exit codes: 0 done, 1 refused or failed, 2 the command line is wrong, 3 no coordinator answers, 4 timed out. "+
+			"Examples: linkpass status -o json; linkpass slices split players 1048576 --into 2 --wait; linkpass drain --wait --timeout 30s"))
+	if err != nil {
+		fmt.Fprintln(errOut, "linkpass:", err)
+		return Misused
+	}
+	e.app = app
+	ctx, err := app.Parse(oldFlags(args))
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "linkpass:", err)
+		return Misused
+	}
+	e.client = &control.Client{Socket: c.Socket, Limit: c.Timeout}
+	return e.code(ctx.Run(e))
+}
+
+// oldFlags takes the one flag that the program had before it had commands.
+func oldFlags(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		if a == "-opensearch" || strings.HasPrefix(a, "-opensearch=") {
+			a = "-" + a
+		}
+		out[i] = a
+	}
+	return out
+}
+
+// code words an error and finds its exit code.
+func (e *env) code(err error) int {
+	switch {
+	case err == nil, errors.Is(err, syscall.EPIPE): // whoever read has read enough
+		return Done
+	case errors.Is(err, control.ErrNobody):
+		fmt.Fprintln(e.err, "linkpass:", err)
+		return Nobody
+	case errors.Is(err, errTimedOut):
+		fmt.Fprintln(e.err, "linkpass:", err)
+		return TimedOut
+	}
+	fmt.Fprintln(e.err, "linkpass:", err)
+	return Refused
+}
+
+// show prints an object as JSON, or as rows: a line each, tabs between cells.
+func (e *env) show(v any, rows func(w io.Writer)) error {
+	if e.cli.Output == "json" {
+		data, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return fmt.Errorf("output: %w", err)
+		}
+		_, err = fmt.Fprintf(e.out, "%s\n", data)
+		return err
+	}
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	rows(w)
+	return w.Flush()
+}
+
+// wait asks until something holds or the time is over.
+func (e *env) wait(what string, holds func() (bool, error)) error {
+	for end := time.Now().Add(e.cli.Timeout); ; {
+		ok, err := holds()
+		if ok || err != nil {
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%w after %s: %s", errTimedOut, e.cli.Timeout, what)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+type serveCommand struct {
+	OpenSearch string `name:"opensearch" help:"File of the search front and of all that operators set." default:"${search_file}" type:"path"`
+}
+
+// Run serves until SIGTERM.
+func (s *serveCommand) Run(e *env) error {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	news := daemon.ListenForNews()
+	cfg, err := daemon.Load(os.Getenv)
+	if err == nil {
+		cfg.Search, err = daemon.LoadSearch(s.OpenSearch)
+	}
+	if err != nil {
+		log.Fatalf("event=config_bad err=%q", err)
+	}
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	p, err := daemon.Start(cfg)
+	if err == nil {
+		err = p.Serve(term, news)
+	}
+	if err != nil {
+		log.Fatalf("event=failed err=%q", err)
+	}
+	return nil
+}
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (versionCommand) Run(e *env) error {
+	return e.show(map[string]string{"program": daemon.ProgramVersion(), "api": control.Version}, func(w io.Writer) {
+		fmt.Fprintf(w, "linkpass %s, operators' API %s\n", daemon.ProgramVersion(), control.Version)
+	})
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"lukechampine.com/blake3"
+
+	"linkpass/internal/http1"
+)
+
+func sum(data []byte) string {
+	h := blake3.Sum256(data)
+	return hex.EncodeToString(h[:])
+}
+
+// Client asks a coordinator's API.
+type Client struct {
+	Socket string
+	Limit  time.Duration // of one call
+}
+
+// ErrNobody says that no coordinator answers at the socket.
+var ErrNobody = errors.New("no coordinator answers")
+
+// Refused is an answer that says no.
+type Refused struct {
+	Status int
+	Reason string
+}
+
+// Error is the reason.
+func (r *Refused) Error() string { return r.Reason }
+
+const maxAnswer = 64 << 20
+
+// Call makes one call; what is not nil takes the answer's JSON.
+func (c *Client) Call(method, path string, body []byte, into any) error {
+	data, err := c.Raw(method, path, body)
+	if err != nil || into == nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("%s %s: the answer: %w", method, path, err)
+	}
+	return nil
+}
+
+// Raw makes one call and gives the answer's body.
+func (c *Client) Raw(method, path string, body []byte) ([]byte, error) {
+	nc, err := net.DialTimeout("unix", c.Socket, c.Limit)
+	if err != nil {
+		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, c.Socket, err)
+	}
+	defer nc.Close()
+	if err := nc.SetDeadline(time.Now().Add(c.Limit)); err != nil {
+		return nil, fmt.Errorf("%s: %w", c.Socket, err)
+	}
+	if err := http1.WriteRequest(nc, method, Version+path, "linkpass", nil, body); err != nil {
+		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, c.Socket, err)
+	}
+	res, err := http1.NewReader(nc, maxAnswer).Response()
+	if err != nil {
+		return nil, fmt.Errorf("%w at %s within %s: %w", ErrNobody, c.Socket, c.Limit, err)
+	}
+	if res.Status/100 != 2 {
+		return nil, &Refused{res.Status, reasonOf(res)}
+	}
+	return res.Body, nil
+}
+
+// reasonOf reads why an answer says no, in the API's words or in the search front's.
+func reasonOf(res *http1.Response) string {
+	var ours failure
+	if json.Unmarshal(res.Body, &ours) == nil && ours.Error != "" {
+		return ours.Error
+	}
+	var front struct {
+		Error struct {
+			Type, Reason string
+		}
+	}
+	if json.Unmarshal(res.Body, &front) == nil && front.Error.Reason != "" {
+		return front.Error.Reason
+	}
+	if to := res.Header.Get("Location"); to != "" {
+		return "another instance leads the store: " + to
+	}
+	return fmt.Sprintf("status %d: %.200s", res.Status, res.Body)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -778,3 +778,25 @@
 	c.events = append(c.events, linkpass.Probed{Server: p.server, Code: r.End.Code(),
 		Took: max(0, r.At-p.sent), Report: r.Report})
 }
+
+// Beliefs are what the module holds of the servers. It is false where the core does not answer in time.
+func (c *Core) Beliefs(limit time.Duration) (out []linkpass.Belief, ok bool) {
+	told := make(chan []linkpass.Belief, 1)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case c.mailbox <- func() { told <- c.router.Beliefs(c.Now()) }:
+	case <-c.done:
+		return nil, false
+	case <-timer.C:
+		return nil, false
+	}
+	select {
+	case out = <-told:
+		return out, true
+	case <-c.done:
+		return nil, false
+	case <-timer.C:
+		return nil, false
+	}
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -41,6 +41,8 @@
 	Store   store.Config `toml:"store"`
 	Reshape Reshape      `toml:"reshape"`
 	Bodies  Bodies       `toml:"bodies"`
+
+	Operator Operator `toml:"operator"`
 }
 
 const DefaultSearchFile = "deploy/opensearch.toml"
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,241 @@
+package daemon
+
+import (
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"linkpass"
+	"linkpass/internal/control"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/discovery"
+	"linkpass/internal/http1"
+	"linkpass/internal/store"
+)
+
+// Operator says where the operators' API listens, as an operator's file says.
+type Operator struct {
+	Socket string `toml:"socket"` // of the API; "": there is none
+}
+
+const (
+	controlConns = 8
+	coreLimit    = 500 * time.Millisecond // for the core to tell what it believes
+	controlBody  = 16 << 20               // bytes: a backup
+)
+
+// roster knows the listed servers by the module's numbers.
+type roster struct {
+	mu    sync.Mutex
+	names map[linkpass.ServerID]string
+}
+
+// List follows the list of servers.
+func (r *roster) List(l coordinator.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.Mode != linkpass.ListDelta || r.names == nil {
+		r.names = map[linkpass.ServerID]string{}
+	}
+	for _, m := range l.Members {
+		if m.State == linkpass.Gone {
+			delete(r.names, m.Server)
+		} else {
+			r.names[m.Server] = m.Name
+		}
+	}
+}
+
+func (r *roster) name(id linkpass.ServerID) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n, ok := r.names[id]; ok {
+		return n
+	}
+	return strconv.FormatUint(uint64(id), 16)
+}
+
+// listener follows news of the list.
+type listener interface{ List(coordinator.List) }
+
+// listTee hands the list of servers to the core and to those who follow it.
+type listTee struct {
+	*coordinator.Core
+	others []listener
+}
+
+// List hands on news of the list.
+func (t listTee) List(l coordinator.List) {
+	for _, o := range t.others {
+		o.List(l)
+	}
+	t.Core.List(l)
+}
+
+var _ discovery.Core = listTee{}
+
+// openControl takes the socket of the operators' API. A file that a crash left is replaced; one
+// that somebody listens on is not.
+func (p *Program) openControl() (err error) {
+	path := p.cfg.Search.Operator.Socket
+	if path == "" {
+		return nil
+	}
+	if _, err := os.Stat(path); err == nil {
+		if nc, err := net.DialTimeout("unix", path, time.Second); err == nil {
+			_ = nc.Close()
+			return fmt.Errorf("operators' API: another process listens at %s", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return fmt.Errorf("operators' API: what a crash left: %w", err)
+		}
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return fmt.Errorf("operators' API: %w", err)
+	}
+	if p.controlLn, err = net.Listen("unix", path); err != nil {
+		return fmt.Errorf("operators' API: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		return fmt.Errorf("operators' API: %w", err)
+	}
+	p.control = &http1.Server{Name: "control", Handler: control.Handler{Coordinator: p}, Clock: p.core, Counters: p.count,
+		MaxConns: controlConns, MaxBody: controlBody}
+	return nil
+}
+
+// takeControl opens the API late, once the other process of a change of version has let go of it.
+func (p *Program) takeControl(serve func(func())) {
+	if p.control != nil || p.cfg.Search.Operator.Socket == "" {
+		return
+	}
+	if err := p.openControl(); err != nil {
+		log.Printf("event=control_failed err=%q", err)
+		return
+	}
+	serve(func() { accept(p.control, p.controlLn) })
+}
+
+// ProgramVersion is what the build knows of itself.
+func ProgramVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version, dirty := info.Main.Version, ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			version = s.Value[:min(12, len(s.Value))]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			dirty = "+changes"
+		}
+	}
+	return version + dirty
+}
+
+// Status tells how the coordinator stands. It waits for nobody but, for a while, the core.
+func (p *Program) Status() control.Status {
+	s := control.Status{Name: p.cfg.name, Program: ProgramVersion(), PID: os.Getpid(), State: p.gate.State().String(),
+		UptimeS: time.Since(p.began).Seconds(), Core: "ok", InFlight: p.figures.InFlight.Load(), Attempts: p.figures.Attempts.Load(),
+		Known: p.figures.Known.Load(), Avoided: p.figures.Excluded.Load(), ResidentKB: residentKB()}
+	if _, ok := p.core.Beliefs(coreLimit); !ok {
+		s.Core = "busy"
+	}
+	for i, name := range p.figures.Classes {
+		s.Classes = append(s.Classes, control.ClassStatus{Name: name, Served: p.figures.Served[i].Load(),
+			Refused: p.figures.Refused[i].Load(), Failed: p.figures.Failed[i].Load()})
+	}
+	for _, a := range p.Addrs() {
+		s.Fronts = append(s.Fronts, a.String())
+	}
+	if p.bodies != nil {
+		f := p.bodies.Figures()
+		s.Bodies = &control.BodyStatus{Held: f.Bodies, Shared: f.Shared, Arriving: f.ArrivingBodies, Waiting: f.WaitingBodies,
+			Memory: f.Memory, Files: f.Files, Disk: f.Disk}
+	}
+	c := (*p.current.Load())()
+	for name := range c.Indices {
+		if l := c.Layout(name); l != nil {
+			s.Layouts = append(s.Layouts, control.Layout{Index: name, Version: l.Version(), Slices: l.Len(), Plans: len(l.Plans())})
+		}
+	}
+	slices.SortFunc(s.Layouts, func(a, b control.Layout) int { return strings.Compare(a.Index, b.Index) })
+	if st := p.Store(); st != nil {
+		s.Store = &control.StoreStatus{ID: st.ID(), Leader: st.Leader(), Revision: st.Current().Revision}
+		for _, m := range st.Members() {
+			s.Store.Members = append(s.Store.Members, control.StoreMember{ID: m.ID, Raft: m.Raft, HTTP: m.HTTP, Leader: m.ID == s.Store.Leader})
+		}
+	}
+	return s
+}
+
+// residentKB is the memory that the process has resident; 0 where the system does not say.
+func residentKB() int64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()) / 1024
+}
+
+// Servers tells what the module believes of the league servers.
+func (p *Program) Servers() ([]control.Server, error) {
+	list, ok := p.core.Beliefs(coreLimit)
+	if !ok {
+		return nil, control.ErrBusy
+	}
+	out := make([]control.Server, 0, len(list))
+	for _, b := range list {
+		s := control.Server{Name: p.roster.name(b.Server), State: "in_service", Out: b.Out, MedianMS: float64(b.Median.Microseconds()) / 1000,
+			Cold: b.Cold, LostInRow: b.Lost, Health: map[string]float64{}}
+		for i, h := range b.Health {
+			s.Health[p.figures.Classes[i]] = float64(int(h*1000+0.5)) / 1000
+		}
+		switch {
+		case b.State == linkpass.Draining:
+			s.State, s.Avoided = "draining", "drains"
+		case b.Down:
+			s.Avoided = "down"
+		case b.Pause > 0:
+			s.Avoided = "full"
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b control.Server) int { return strings.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+// Drain empties the coordinator, Activate takes clients again; both tell where it stands then.
+func (p *Program) Drain() string { return p.gate.Drain().String() }
+
+// Activate takes clients again.
+func (p *Program) Activate() string { return p.gate.Activate().String() }
+
+// Store is the replicated store; nil: there is none.
+func (p *Program) Store() *store.Store { return p.opened.Load() }
+
+// Search is the search front's handler; nil: there is none.
+func (p *Program) Search() http1.Handler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.fronts {
+		if f.Name == "search" {
+			return f.Handler
+		}
+	}
+	return nil
+}
--- a/internal/daemon/reshape.go
+++ b/internal/daemon/reshape.go
@@ -75,18 +75,6 @@
 	}
 }
 
-// listTee hands the list of servers to the core and to the steward.
-type listTee struct {
-	*coordinator.Core
-	steward *steward.Steward
-}
-
-// List hands on news of the list.
-func (t listTee) List(l coordinator.List) {
-	t.steward.List(l)
-	t.Core.List(l)
-}
-
 // newSteward makes the steward of the layouts; it works once the store is open.
 func (p *Program) newSteward() error {
 	longest := time.Duration(0)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -62,6 +62,10 @@
 	layouts    *layouts
 	steward    *steward.Steward // of the layouts; nil: no store
 	bodies     *bodies.Store
+	roster     roster
+	began      time.Time
+	control    *http1.Server // the operators' API; nil: none
+	controlLn  net.Listener
 	bodyLimits tier.Limits // of all processes together
 	gate       operator.Gate
 	fronts     []*http1.Server
@@ -175,6 +179,9 @@
 	if p.door != nil {
 		all.Go(func() { accept(p.door, p.doorLn) })
 	}
+	if p.control != nil {
+		all.Go(func() { accept(p.control, p.controlLn) })
+	}
 	log.Printf("event=started name=%s discovery=%s servers=%d", cfg.name, cfg.discovery, len(cfg.known.Servers))
 
 	usable, warm := p.watcher.Usable(), make(chan struct{})
@@ -202,6 +209,7 @@
 			} else if len(p.fronts) > n {
 				open(n)
 			}
+			p.takeControl(all.Go)
 		case sig := <-news:
 			if sig == syscall.SIGHUP {
 				p.reload(os.Getenv)
@@ -240,7 +248,13 @@
 	if p.door != nil {
 		_ = p.doorLn.Close()
 	}
+	if p.control != nil {
+		_ = p.controlLn.Close()
+	}
 	all.Wait()
+	if p.control != nil {
+		p.control.Close()
+	}
 	if p.door != nil {
 		p.door.Close()
 	}
@@ -269,7 +283,7 @@
 	if cfg.sockets <= 0 {
 		cfg.sockets = defaultSockets
 	}
-	p = &Program{cfg: cfg, count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
+	p = &Program{cfg: cfg, began: time.Now(), count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
 		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1)}
 	p.follow(func() *catalog.Catalog { return &cfg.Search.Catalog })
 	if p.post, err = handover.Join(os.TempDir(), cfg.name, cfg.module.MaxOpen, p.keepTo); err != nil {
@@ -279,7 +293,7 @@
 	made := p // a return of nil must not take from the clean-up what it cleans up
 	defer func() {
 		if err != nil {
-			for _, ln := range append(made.lns, made.doorLn) {
+			for _, ln := range append(made.lns, made.doorLn, made.controlLn) {
 				if ln != nil {
 					_ = ln.Close()
 				}
@@ -327,17 +341,20 @@
 		p.door = &http1.Server{Name: "operator", Handler: door, Clock: p.core, Counters: p.count, MaxConns: operator.MaxCallers}
 	}
 	p.layouts = &layouts{core: p.core}
-	var list discovery.Core = p.core
+	list := listTee{p.core, []listener{&p.roster}}
 	if cfg.Search.Listen != "" && cfg.Search.Store.ID != "" {
 		if err := p.newSteward(); err != nil {
 			return nil, err
 		}
-		list = listTee{p.core, p.steward}
+		list.others = append(list.others, p.steward)
 	}
 	if !p.young() {
 		if err := p.search(); err != nil {
 			return nil, err
 		}
+		if err := p.openControl(); err != nil {
+			return nil, err
+		}
 	}
 	p.watcher = discovery.NewWatcher(cfg.discovery, &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds,
 		Cells: cfg.module.Cells, Clock: p.core.Clock}, list, p.count)
--- /dev/null
+++ b/internal/lab/demo.go
@@ -0,0 +1,86 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"linkpass/internal/layout"
+	"linkpass/internal/standin"
+)
+
+// Demo is a fleet and a coordinator with both fronts, ready to be tried.
+type Demo struct {
+	w      *world
+	Socket string // of the operators' API
+	Search string // address of the search front
+}
+
+// StartDemo starts one. Everything lies in a folder of its own, which Close removes.
+func StartDemo(seed uint64) (*Demo, error) {
+	w, err := newWorld(shape{name: "demo", seed: seed, servers: 6, nodes: 1, slices: 4, records: 500, each: 2, maxOpen: 1000, memoryMB: 128,
+		reshape: "poll = \"200ms\"\nretire_after = \"1s\"", operator: "socket = \"DIR/linkpass.sock\"",
+		work: standin.Work{Cores: 2, Part: 20 * time.Millisecond, Record: 20 * time.Microsecond, Queue: 64, CopyRate: 200, Cold: 5 * time.Second, ColdShare: 0.2}})
+	if err != nil {
+		return nil, err
+	}
+	return &Demo{w: w, Socket: filepath.Join(w.dir, "linkpass.sock"), Search: w.nodes[0].search}, nil
+}
+
+// Fleet is the demo's fleet.
+func (d *Demo) Fleet() *standin.Fleet { return d.w.fleet }
+
+// Close ends it.
+func (d *Demo) Close() { d.w.close() }
+
+// RunDemo runs one until it is interrupted, and says what to try.
+func RunDemo(seed uint64) error {
+	began := time.Now()
+	d, err := StartDemo(seed)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	fmt.Printf(`six stand-in servers, discovery and a coordinator, ready after %d ms. Try, in another terminal:
+
+  curl -s '%[2]s/players/_search?size=2'
+      two of the 500 players, "failed":0
+
+  export LINKPASS_SOCKET=%[3]s
+  bin/linkpass slices split players %[4]d --into 2 --wait
+      the slice goes through its steps to "retired"; searches stay whole meanwhile
+
+  kill -USR1 %[5]d; bin/linkpass top
+      a server dies (and comes back cold after 5 s): it is avoided, and searches stay whole
+
+Ctrl-C ends it.
+`, time.Since(began).Milliseconds(), d.Search, d.Socket, uint64(layout.FirstSlice), os.Getpid())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	kills := make(chan os.Signal, 1)
+	signal.Notify(kills, syscall.SIGUSR1)
+	for next := 0; ; next++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-kills:
+		}
+		s := d.Fleet().Servers[next%len(d.Fleet().Servers)]
+		fmt.Printf("%s dies\n", s.Name)
+		s.Die(false)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(5 * time.Second):
+		}
+		if err := s.Rise(); err != nil {
+			return err
+		}
+		d.Fleet().Tell(s, "in_service")
+		fmt.Printf("%s is back\n", s.Name)
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -50,6 +50,7 @@
 	work     standin.Work
 	reshape  string // lines of [reshape] in the coordinators' file
 	bodies   string // lines of [bodies]
+	operator string // lines of [operator]
 	each     int    // servers of a set
 	maxOpen  int
 	memoryMB int
@@ -167,6 +168,7 @@
 		fmt.Fprintf(&t, "[servers.%s]\nprotocol = \"search\"\n", s.Name)
 	}
 	fmt.Fprintf(&t, "[bodies]\n%s\n", strings.ReplaceAll(w.bodies, "DIR", filepath.Join(w.dir, fmt.Sprint("bodies", i))))
+	fmt.Fprintf(&t, "[operator]\n%s\n", strings.ReplaceAll(w.operator, "DIR", w.dir))
 	fmt.Fprintf(&t, "[reshape]\n%s\n[store]\nid = \"n%d\"\ndir = %q\npace = 0.2\n", w.reshape, i, filepath.Join(w.dir, fmt.Sprint("store", i)))
 	for k := range raft {
 		fmt.Fprintf(&t, "[[store.members]]\nid = \"n%d\"\nraft = %q\nhttp = %q\n", k, raft[k], web[k])
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -275,6 +275,9 @@
 	if err == nil && next.Revision != 0 && next.Revision != now.Revision+1 { // 0: of a program before revisions
 		err = fmt.Errorf("%w: revision %d after %d", ErrConflict, next.Revision, now.Revision)
 	}
+	if err == nil {
+		err = next.Follows(now)
+	}
 	if err != nil {
 		log.Printf("event=settings_bad index=%d err=%q", entry.Index, err)
 		return err
@@ -332,3 +335,15 @@
 	log.Printf("event=raft line=%q", b)
 	return len(b), nil
 }
+
+// Members are the instances that the store was told of.
+func (s *Store) Members() []Member { return s.config.Members }
+
+// Leader is the id of the leader; "": none is known.
+func (s *Store) Leader() string {
+	_, id := s.raft.LeaderWithID()
+	return string(id)
+}
+
+// ID is this instance's own.
+func (s *Store) ID() string { return s.config.ID }
