--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -18,7 +18,7 @@
 )
 
 type checkCommand struct {
-	OpenSearch string `name:"opensearch" help:"The operators' file." default:"${search_file}" type:"path"`
+	OpenSearch string `name:"opensearch" help:"The operators' file." default:"${search_file}"`
 	FileOnly   bool   `help:"Leave the environment alone."`
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,6 +67,9 @@
 
 // Main runs one command line and tells the exit code.
 func Main(args []string, out, errOut io.Writer) (code int) {
+	if len(args) == 0 { // the platform's start: the command line is not built up, which costs memory
+		return (&env{out: out, err: errOut}).code((&serveCommand{OpenSearch: daemon.DefaultSearchFile}).Run(nil))
+	}
 	var c commands
 	e := &env{out: out, err: errOut, cli: &c}
 	exited := -1
@@ -150,7 +153,7 @@
 }
 
 type serveCommand struct {
-	OpenSearch string `name:"opensearch" help:"File of the search front and of all that operators set." default:"${search_file}" type:"path"`
+	OpenSearch string `name:"opensearch" help:"File of the search front and of all that operators set." default:"${search_file}"`
 }
 
 // Run serves until SIGTERM.
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -47,32 +48,64 @@
 
 const DefaultSearchFile = "deploy/opensearch.toml"
 
-// LoadSearch reads the search front's file. Without the default one it is off.
+// LoadSearch reads the operators' file and tells all that is wrong with it at once, each with its
+// line and key. Without the default file the search front is off.
 func LoadSearch(path string) (Search, error) {
 	var c Search
-	meta, err := toml.DecodeFile(path, &c)
+	text, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) && path == DefaultSearchFile {
 		return Search{}, nil
 	}
 	if err != nil {
-		return c, fmt.Errorf("search front %s: %w", path, err)
+		return c, fmt.Errorf("search front: %w", err)
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return c, fmt.Errorf("search front %s: unknown key %s", path, unknown[0])
+	meta, err := toml.Decode(string(text), &c)
+	var syntax toml.ParseError
+	if errors.As(err, &syntax) {
+		return c, fmt.Errorf("search front %s:%d: %s", path, syntax.Position.Line, syntax.Message)
 	}
-	if err := c.Check(); err != nil {
+	if err != nil {
 		return c, fmt.Errorf("search front %s: %w", path, err)
 	}
-	if err := c.Bodies.check(); err != nil {
-		return c, fmt.Errorf("search front %s: %w", path, err)
+	var faults []error
+	for _, key := range meta.Undecoded() {
+		faults = append(faults, fmt.Errorf("search front %s:%d: unknown key %s", path, lineOf(string(text), key), key))
 	}
-	if _, _, err := c.Reshape.pace(time.Second); err != nil {
-		return c, fmt.Errorf("search front %s: %w", path, err)
+	note := func(section string, err error) {
+		if err != nil {
+			faults = append(faults, fmt.Errorf("search front %s:%d: %w", path, lineOf(string(text), toml.Key{section}), err))
+		}
 	}
+	note("indices", c.Check())
+	note("bodies", c.Bodies.check())
+	_, _, err = c.Reshape.pace(time.Second)
+	note("reshape", err)
 	if c.Listen == "" && c.Store.ID != "" {
-		return c, fmt.Errorf("search front %s: a store needs the front's listen address", path)
+		note("store", errors.New("a store needs the front's listen address"))
 	}
-	return c, nil
+	return c, errors.Join(faults...)
+}
+
+// lineOf finds the line on which a key stands, or else its section; 1 where neither does.
+func lineOf(text string, key toml.Key) int {
+	section := ""
+	best := 1
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			section = strings.Trim(strings.TrimLeft(line, "["), "] ")
+			if section == key[0] || strings.HasPrefix(section, key[0]+".") {
+				if best = max(best, i+1); len(key) == 1 {
+					return best
+				}
+			}
+		}
+		name, _, ok := strings.Cut(line, "=")
+		if full := strings.TrimPrefix(section+"."+strings.TrimSpace(name), "."); ok && full == key.String() {
+			return i + 1
+		}
+	}
+	return best
 }
 
 // document is the platform's configuration file.
