--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -111,11 +111,11 @@
 }
 
 type holdCommand struct {
-	What string `arg:"" enum:"distinct,shared" help:"distinct or shared."`
+	What string `arg:"" enum:"distinct,shared,tight" help:"distinct, shared, or tight: under the default budget of 32 MB."`
 }
 
 // Run holds many bodies and prints what that takes; run bodies starts it.
-func (c *holdCommand) Run() error { return lab.Hold(c.What == "shared") }
+func (c *holdCommand) Run() error { return lab.Hold(c.What) }
 
 type fleetCommand struct {
 	Servers   int    `help:"League servers." default:"6"`
--- a/internal/lab/bodies.go
+++ b/internal/lab/bodies.go
@@ -235,16 +235,19 @@
 }
 
 // Hold keeps many bodies and prints what the process took at its largest.
-func Hold(shared bool) error {
-	base := highWater()
-	debug.SetMemoryLimit(24 << 20) // as the program sets it for its share of a limit of 40 MB
+func Hold(what string) error {
+	base, budget, limit := highWater(), int64(holdBudget), int64(24<<20) // as the program sets it for a limit of 40 MB
+	if what == "tight" {                                                 // 32 MB in all: the default budget, and the limit that the program gives its collector
+		budget, limit = 4<<20, 19<<20
+	}
+	debug.SetMemoryLimit(limit)
 	dir, err := os.MkdirTemp("", "linkpass-hold-")
 	if err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
 	defer os.RemoveAll(dir)
 	began := time.Now()
-	s := bodies.Open(bodies.Config{Limits: tier.Limits{Memory: holdBudget, Files: 1 << 30, Largest: 1 << 20}, Classes: []string{"lookup"}, Dir: dir,
+	s := bodies.Open(bodies.Config{Limits: tier.Limits{Memory: budget, Files: 1 << 30, Largest: 1 << 20}, Classes: []string{"lookup"}, Dir: dir,
 		Counters: counters.New(), Now: func() time.Duration { return time.Since(began) }})
 	defer s.Close()
 	data := make([]byte, holdSize)
@@ -255,7 +258,7 @@
 	var held []*bodies.Body
 	for i := range holdBodies {
 		n := i
-		if shared {
+		if what == "shared" {
 			n %= holdShared
 		}
 		binary.LittleEndian.PutUint64(data, uint64(n))
