--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -1,10 +1,12 @@
 package cli
 
 import (
+	"bytes"
 	"io"
 	"log"
 	"net"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -56,3 +58,41 @@
 	}()
 	return nil
 }
+
+// Slow callers that hold every place of the API's socket keep no operator out.
+func TestStatusBesideSlowCallers(t *testing.T) {
+	log.SetOutput(io.Discard)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	t.Setenv("TMPDIR", t.TempDir())
+	d, err := lab.StartDemo(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	for range 20 {
+		nc, err := net.Dial("unix", d.Socket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if _, err := io.WriteString(nc, "GET /v1/sta"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out, errOut bytes.Buffer
+	if code := Main([]string{"--socket", d.Socket, "status"}, &out, &errOut); code != Done || !strings.Contains(out.String(), "serving") {
+		t.Errorf("exit code %d: %s%s", code, out.String(), errOut.String())
+	}
+}
+
+// No line of a view is wider than its terminal.
+func TestLinesAreCutToTheTerminal(t *testing.T) {
+	for _, l := range strings.Split(cut("short\n"+strings.Repeat("wide ä ", 30)+"\n", 60), "\n") {
+		if n := len([]rune(l)); n > 60 {
+			t.Errorf("%d columns: %s", n, l)
+		}
+	}
+	if text := strings.Repeat("x", 100); cut(text, 0) != text {
+		t.Error("cut where there is no terminal")
+	}
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -29,8 +29,9 @@
 
 // Refused is an answer that says no.
 type Refused struct {
-	Status int
-	Reason string
+	Status  int
+	Reason  string
+	unheard bool // before the call was read
 }
 
 // Error is the reason.
@@ -50,8 +51,23 @@
 	return nil
 }
 
-// Raw makes one call and gives the answer's body.
+// crowdedPause is between two tries where every place of the API is taken: callers that do not
+// come to an end give way after a second.
+const crowdedPause = 100 * time.Millisecond
+
+// Raw makes one call and gives the answer's body. A call that finds every place taken was never
+// heard, whatever it is: it is made again within the limit.
 func (c *Client) Raw(method, path string, body []byte) ([]byte, error) {
+	for end := time.Now().Add(c.Limit); ; time.Sleep(crowdedPause) {
+		data, err := c.once(method, path, body)
+		var no *Refused
+		if !errors.As(err, &no) || !no.unheard || time.Now().Add(crowdedPause).After(end) {
+			return data, err
+		}
+	}
+}
+
+func (c *Client) once(method, path string, body []byte) ([]byte, error) {
 	nc, err := net.DialTimeout("unix", c.Socket, c.Limit)
 	if err != nil {
 		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, c.Socket, err)
@@ -68,7 +84,11 @@
 		return nil, fmt.Errorf("%w at %s within %s: %w", ErrNobody, c.Socket, c.Limit, err)
 	}
 	if res.Status/100 != 2 {
-		return nil, &Refused{res.Status, reasonOf(res)}
+		crowded := res.Status == 503 && len(res.Body) == 0 // the API's own answers say why
+		if crowded {
+			return nil, &Refused{res.Status, "every place of the operators' API is taken", true}
+		}
+		return nil, &Refused{Status: res.Status, Reason: reasonOf(res)}
 	}
 	return res.Body, nil
 }
