--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -111,11 +111,12 @@
 }
 
 type holdCommand struct {
-	What string `arg:"" enum:"distinct,shared,tight" help:"distinct, shared, or tight: under the default budget of 32 MB."`
+	What   string `arg:"" enum:"distinct,shared,tight" help:"distinct, shared, or tight: under the default budget of 32 MB."`
+	Bodies int    `help:"How many." default:"10000"`
 }
 
 // Run holds many bodies and prints what that takes; run bodies starts it.
-func (c *holdCommand) Run() error { return lab.Hold(c.What) }
+func (c *holdCommand) Run() error { return lab.Hold(c.What, c.Bodies) }
 
 type fleetCommand struct {
 	Servers   int    `help:"League servers." default:"6"`
--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -204,7 +204,7 @@
 	s.mu.Lock()
 	s.count(e, "lost")
 	s.lines.Printf("event=body_lost class=%d bytes=%d err=%q", e.class, e.size, err)
-	s.state.Lost(e.id)
+	s.state.Free(e.id)
 	told := s.forget(e)
 	s.mu.Unlock()
 	for _, gone := range told {
--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -151,9 +151,10 @@
 		defer os.RemoveAll(dir)
 		fs := noFaults()
 		var now atomic.Int64
-		s := Open(Config{Limits: tier.Limits{Memory: 40 << 10, Files: 120 << 10, Largest: 24 << 10, Classes: []tier.Class{{Floor: 8 << 10}, {}}},
-			Classes: []string{"lookup", "table"}, Dir: dir, FS: fs, Counters: counters.New(), Now: func() time.Duration { return time.Duration(now.Load()) }})
-		defer s.Close()
+		cfg := Config{Limits: tier.Limits{Memory: 40 << 10, Files: 120 << 10, Largest: 24 << 10, Classes: []tier.Class{{Floor: 8 << 10}, {}}},
+			Classes: []string{"lookup", "table"}, Dir: dir, FS: fs, Counters: counters.New(), Now: func() time.Duration { return time.Duration(now.Load()) }}
+		s := Open(cfg)
+		defer func() { s.Close() }()
 		type hold struct {
 			b    *Body
 			data []byte
@@ -166,7 +167,7 @@
 			if len(holds) > 0 {
 				h = rapid.SampledFrom(holds).Draw(t, "hold")
 			}
-			switch kind := rapid.IntRange(0, 8).Draw(t, "event"); {
+			switch kind := rapid.IntRange(0, 9).Draw(t, "event"); {
 			case kind <= 2 || h == nil:
 				data := text(uint64(rapid.IntRange(1, 6).Draw(t, "content")), rapid.IntRange(1, 50<<10).Draw(t, "size"))
 				b, err := keep(s, rapid.IntRange(0, 1).Draw(t, "class"), data)
@@ -193,6 +194,14 @@
 				fs.room.Store(rapid.SampledFrom([]int64{-1, 0, 30 << 10}).Draw(t, "room"))
 			case kind == 7:
 				s.compactAll()
+			case kind == 9 && rapid.IntRange(0, 2).Draw(t, "crash") == 0: // the process dies as it stands; the next one starts
+				crash(s)
+				left := s.own
+				s, holds = Open(cfg), nil
+				seen["crash"]++
+				if _, err := os.Stat(left); !errors.Is(err, os.ErrNotExist) || s.log == nil {
+					t.Fatalf("what the crash left is still there: %v", err)
+				}
 			case kind == 8:
 				fs.flip.Store(rapid.IntRange(0, 3).Draw(t, "flip") == 0)
 			}
@@ -223,11 +232,18 @@
 			t.Fatalf("after all were let go: %+v", f)
 		}
 	})
-	if seen["refused"] == 0 || seen["gone"] == 0 || seen["read"] == 0 {
+	if seen["refused"] == 0 || seen["gone"] == 0 || seen["read"] == 0 || seen["crash"] == 0 {
 		t.Errorf("the runs show too little: %v", seen)
 	}
 }
 
+// crash ends a store as a kill would: its goroutine and its lock go, its files stay as they are.
+func crash(s *Store) {
+	close(s.done)
+	s.wg.Wait()
+	_ = s.lock.Close()
+}
+
 // compactAll compacts whatever is sparse, whether the disk needs it or not.
 func (s *Store) compactAll() {
 	for seg := s.log.sparse(); seg != nil; seg = nil {
--- a/internal/bodies/tier/tier.go
+++ b/internal/bodies/tier/tier.go
@@ -220,10 +220,7 @@
 	return s.act(func() { s.relieve(nil) })
 }
 
-// Lost says that a body's data cannot be read any more.
-func (s *State) Lost(id ID) { s.Free(id) }
-
-// Free says that a body is needed no more.
+// Free says that a body is needed no more, or cannot be read any more.
 func (s *State) Free(id ID) {
 	if b := s.bodies[id]; b != nil {
 		s.forget(b)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -96,3 +96,18 @@
 		t.Error("cut where there is no terminal")
 	}
 }
+
+// The exit codes are those of docs/cli.md.
+func TestExitCodes(t *testing.T) {
+	nobody := t.TempDir() + "/none"
+	for want, args := range map[int][]string{Done: {"version"}, Misused: {"frobnicate"}, Nobody: {"--socket", nobody, "status"},
+		Refused: {"check", "--file-only", "--opensearch", nobody}} {
+		if got := Main(args, io.Discard, io.Discard); got != want {
+			t.Errorf("%v: exit code %d, want %d", args, got, want)
+		}
+	}
+	e := &env{err: io.Discard, cli: &commands{}}
+	if got := e.code(e.wait("it", func() (bool, error) { return false, nil })); got != TimedOut {
+		t.Errorf("a wait in vain: exit code %d", got)
+	}
+}
--- a/internal/lab/bodies.go
+++ b/internal/lab/bodies.go
@@ -235,7 +235,7 @@
 }
 
 // Hold keeps many bodies and prints what the process took at its largest.
-func Hold(what string) error {
+func Hold(what string, count int) error {
 	base, budget, limit := highWater(), int64(holdBudget), int64(24<<20) // as the program sets it for a limit of 40 MB
 	if what == "tight" {                                                 // 32 MB in all: the default budget, and the limit that the program gives its collector
 		budget, limit = 4<<20, 19<<20
@@ -256,7 +256,7 @@
 		data[i] = byte(rng.Uint32())
 	}
 	var held []*bodies.Body
-	for i := range holdBodies {
+	for i := range count {
 		n := i
 		if what == "shared" {
 			n %= holdShared
--- a/internal/layout/steward/steward.go
+++ b/internal/layout/steward/steward.go
@@ -169,15 +169,13 @@
 		_, failed := s.failed[name]
 		in.Sound[name] = m.State == linkpass.Ready && !failed
 	}
-	in.Pressed = s.pressure.Look(in.Now, first(s.cfg.Ended()), second(s.cfg.Ended()))
+	ended, refused := s.cfg.Ended()
+	in.Pressed = s.pressure.Look(in.Now, ended, refused)
 	for _, step := range s.controller.Steps(in) {
 		s.take(step)
 	}
 }
 
-func first(a, _ int64) int64  { return a }
-func second(_, b int64) int64 { return b }
-
 // duties are what each server is to hold of all indices.
 func duties(layouts map[string]*layout.Layout) map[string][]reshape.Duty {
 	out := map[string][]reshape.Duty{}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -22,15 +22,11 @@
 
 // NewFleet starts n servers, named s-01 and so on, that hold nothing.
 func NewFleet(n, records int, w Work, seed uint64) (*Fleet, error) {
-	return newFleet(n, records, w, seed, "127.0.0.1:0")
+	return NewFleetAt(n, records, w, seed, "127.0.0.1:0")
 }
 
 // NewFleetAt is the same with a discovery at an address.
 func NewFleetAt(n, records int, w Work, seed uint64, addr string) (*Fleet, error) {
-	return newFleet(n, records, w, seed, addr)
-}
-
-func newFleet(n, records int, w Work, seed uint64, addr string) (*Fleet, error) {
 	agent, err := NewAgent(addr)
 	if err != nil {
 		return nil, err
--- a/router_test.go
+++ b/router_test.go
@@ -1033,3 +1033,16 @@
 	expect[Send](t, b.last, 0)
 	expect[Refuse](t, b.last, 1)
 }
+
+// Where the floor can be reached without the bare part, its query is answered in part, and says so.
+func TestABareQueryIsAnsweredInPartWhereItMay(t *testing.T) {
+	b := newBed(t, partial())
+	b.query(10, 0, 0, 1)
+	b.after(5*ms, reply(1, 0), reply(2, 0), reply(3, 0))
+	s := expect[Send](t, b.last, 2)
+	b.turn(Bare{ID: s[0].ID}, Bare{ID: s[1].ID})
+	b.after(20*ms, closed(s[0].ID, 0, s[0].Server, OK, 20*ms))
+	if a := expect[Answer](t, b.after(5*ms, closed(s[1].ID, 0, s[1].Server, Errored, 25*ms)), 1); a[0].Whole {
+		t.Error("marked whole without the bare part")
+	}
+}
