The test of mute connections waits until the write before it is booked

Cause: the test moved its clock on as soon as the frame had arrived; the peer's limit on that write may still have been armed then, and ended the connection.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,16 @@
 		f()
 	}
 }
+
+// quiet waits until nothing that is armed would fall due: a write that has come whole may not have been
+// booked as whole yet, and its limit would end the connection.
+func (s *sink) quiet(d time.Duration) {
+	for due := true; due; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		due = slices.ContainsFunc(s.armed, func(a *armed) bool { return a.fire != nil && a.at <= s.Now()+d })
+		s.mu.Unlock()
+	}
+}
 func (s *sink) Ended(id coordinator.AttemptID, r coordinator.Result) { s.ended <- ended{id, r} }
 func (s *sink) Written(id coordinator.AttemptID)                     { s.written <- id }
 func (s *sink) ProbeEnded(_ uint64, r coordinator.Result)            { s.probed <- r }
@@ -128,7 +139,7 @@
 	t.Helper()
 	got := <-s.ended
 	if got.End != e {
-		t.Fatalf("ended as %s, want %s", got.End, e)
+		t.Fatalf("%v ended as %s, want %s", got.id, got.End, e)
 	}
 	return got
 }
@@ -427,6 +438,7 @@
 	_, _ = first.Write([]byte{200, 0, 0, 0, 'O'})
 	p.Probe(7)
 	<-srv.frames
+	s.quiet(250 * time.Millisecond)
 	s.pass(250 * time.Millisecond)
 	p.Forget(7)
 	p.Call(attempt("b", 3, 1))
