One structured log: events of a registry on hclog, their table generated for those on call

Need: 43 hand-made lines, no levels, a table that could drift from the code. internal/event holds every kind of event (part, name, fields, level, meaning, what to do); lines are key=value or JSON, levels by part; the Raft library logs through it.

--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -5,7 +5,7 @@
 import (
 	"fmt"
 	"io"
-	"log"
+	"linkpass/internal/event"
 	"os"
 	"path/filepath"
 	"time"
@@ -43,8 +43,7 @@
 
 // logs sends the coordinators' lines where they are wanted.
 func (c common) logs() error {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
-	log.SetOutput(io.Discard)
+	event.SetOutput(io.Discard, false)
 	if c.Log == "" {
 		return nil
 	}
@@ -55,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	log.SetOutput(f)
+	event.SetOutput(f, false)
 	return nil
 }
 
--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"log"
 	"os"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 
 	"linkpass/internal/bodies/tier"
 	"linkpass/internal/counters"
+	"linkpass/internal/event"
 )
 
 // Small is the size up to which a body is no matter for the store: its bytes go along with the query.
@@ -58,7 +58,7 @@
 	wake    chan struct{}
 	done    chan struct{}
 	wg      sync.WaitGroup
-	lines   counters.Lines
+	lines   event.Lines
 }
 
 // entry is one body.
@@ -89,7 +89,7 @@
 	if c.Dir != "" && c.Limits.Files > 0 {
 		own, lock, err := ownDir(c.Dir)
 		if err != nil {
-			log.Printf("event=bodies_memory_only dir=%q err=%q", c.Dir, err)
+			event.BodiesMemoryOnly.Log(c.Dir, err)
 		} else {
 			s.own, s.lock, s.log = own, lock, newLog(c.FS, own)
 		}
@@ -141,7 +141,7 @@
 func (s *Store) awake() []tier.Move {
 	if s.rests > 0 && s.cfg.Now() >= s.rests {
 		s.rests = 0
-		log.Printf("event=bodies_files_back")
+		event.BodiesFilesBack.Log()
 		return s.state.Rest(false)
 	}
 	return nil
@@ -203,7 +203,7 @@
 func (s *Store) lost(e *entry, err error) {
 	s.mu.Lock()
 	s.count(e, "lost")
-	s.lines.Printf("event=body_lost class=%d bytes=%d err=%q", e.class, e.size, err)
+	s.lines.Log(event.BodyLost, e.class, e.size, err)
 	s.state.Free(e.id)
 	told := s.forget(e)
 	s.mu.Unlock()
--- a/internal/bodies/move.go
+++ b/internal/bodies/move.go
@@ -1,10 +1,10 @@
 package bodies
 
 import (
-	"log"
 	"time"
 
 	"linkpass/internal/bodies/tier"
+	"linkpass/internal/event"
 )
 
 // Bounds on compaction: it writes so much at a time, and no more often than that.
@@ -88,7 +88,7 @@
 	s.event(func() []tier.Move {
 		s.cfg.Counters.Add("bodies_write_failed", 1)
 		if s.rests == 0 {
-			log.Printf("event=bodies_files_rest ms=%d err=%q", filesRest.Milliseconds(), err)
+			event.BodiesFilesRest.Log(filesRest.Milliseconds(), err)
 		}
 		s.rests = s.cfg.Now() + filesRest
 		return s.state.Rest(true)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"os"
 	"os/signal"
 	"strings"
@@ -20,6 +19,7 @@
 
 	"linkpass/internal/control"
 	"linkpass/internal/daemon"
+	"linkpass/internal/event"
 )
 
 // Exit codes.
@@ -158,14 +158,14 @@
 
 // Run serves until SIGTERM.
 func (s *serveCommand) Run(e *env) error {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
 	news := daemon.ListenForNews()
 	cfg, err := daemon.Load(os.Getenv)
 	if err == nil {
 		cfg.Search, err = daemon.LoadSearch(s.OpenSearch)
 	}
 	if err != nil {
-		log.Fatalf("event=config_bad err=%q", err)
+		event.ConfigBad.Log(err)
+		os.Exit(1)
 	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -174,7 +174,8 @@
 		err = p.Serve(term, news)
 	}
 	if err != nil {
-		log.Fatalf("event=failed err=%q", err)
+		event.Failed.Log(err)
+		os.Exit(1)
 	}
 	return nil
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"log"
+	"linkpass/internal/event"
 	"net"
 	"os"
 	"strings"
@@ -20,8 +20,8 @@
 
 // Every command, with its exit codes and its output, against a coordinator on a stand-in fleet.
 func TestCommands(t *testing.T) {
-	log.SetOutput(io.Discard)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
 	t.Setenv("TMPDIR", t.TempDir())
 	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
 		d, err := lab.StartDemo(1) // one for each script: they change it
@@ -61,8 +61,8 @@
 
 // Slow callers that hold every place of the API's socket keep no operator out.
 func TestStatusBesideSlowCallers(t *testing.T) {
-	log.SetOutput(io.Discard)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
 	t.Setenv("TMPDIR", t.TempDir())
 	d, err := lab.StartDemo(2)
 	if err != nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"linkpass/internal/counters"
 	"linkpass/internal/deadline"
 	"linkpass/internal/end"
+	"linkpass/internal/event"
 	"linkpass/internal/layout"
 	"linkpass/internal/layout/coverage"
 )
@@ -529,7 +529,7 @@
 	}
 	// Guards against a query that the module never ends: it fails when its time is over.
 	open.due = c.dues.Arm(open.ends+c.set.AnswerSlack, func() {
-		log.Printf("event=query_overdue query=%q class=%d", open.Name, open.Class)
+		event.QueryOverdue.Log(open.Name, open.Class)
 		c.count.Add("queries_overdue", 1)
 		c.events = append(c.events, linkpass.ClientGone{ID: open.id})
 		c.finish(open, Answer{Verdict: Failed, TimedOut: true})
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -2,16 +2,14 @@
 package counters
 
 import (
-	"log"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"golang.org/x/time/rate"
+	"linkpass/internal/event"
 )
 
 // Set is a group of named counters. Its methods may be called from anywhere.
@@ -55,21 +53,14 @@
 }
 
 // Print logs every counter in one line.
-func (s *Set) Print(why string) { log.Printf("event=counters why=%s %s", why, s) }
-
-// Lines bounds the log lines of a kind that others can cause at will: a few at once, then
-// one a second. What is not logged is counted all the same. The zero value is ready.
-type Lines struct {
-	once sync.Once
-	some rate.Sometimes
-}
-
-const linesAtOnce = 20
-
-// Printf logs a line, unless there were too many.
-func (l *Lines) Printf(format string, args ...any) {
-	l.once.Do(func() { l.some = rate.Sometimes{First: linesAtOnce, Interval: time.Second} })
-	l.some.Do(func() { log.Printf(format, args...) })
+func (s *Set) Print(why string) {
+	values := []any{why}
+	s.mu.Lock()
+	for _, name := range slices.Sorted(maps.Keys(s.counts)) {
+		values = append(values, name, s.counts[name].Load())
+	}
+	s.mu.Unlock()
+	event.Counters.Log(values...)
 }
 
 // Figures are what the operators read. Each is changed in one place: where the thing
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -1,13 +1,8 @@
 package counters
 
 import (
-	"bytes"
-	"log"
-	"os"
 	"sync"
 	"testing"
-	"testing/synctest"
-	"time"
 )
 
 func TestCountersAddUpAndAreListedByName(t *testing.T) {
@@ -26,20 +21,3 @@
 		t.Errorf("%q", got)
 	}
 }
-
-// However many bad requests a second come, the log has one line a second for them.
-func TestLinesAreBounded(t *testing.T) {
-	var out bytes.Buffer
-	log.SetOutput(&out)
-	defer log.SetOutput(os.Stderr)
-	synctest.Test(t, func(t *testing.T) {
-		var lines Lines
-		for range 1000 { // ten seconds
-			lines.Printf("event=bad")
-			time.Sleep(10 * time.Millisecond)
-		}
-		if n := bytes.Count(out.Bytes(), []byte("event=bad")); n <= linesAtOnce || n > linesAtOnce+10 {
-			t.Errorf("%d lines", n)
-		}
-	})
-}
--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"log"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"linkpass/internal/bodies"
 	"linkpass/internal/bodies/tier"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/opensearch"
 )
@@ -130,6 +130,5 @@
 		return
 	}
 	f := p.bodies.Figures()
-	log.Printf("event=bodies held=%d shared=%d arriving=%d waiting=%d memory=%d files=%d disk=%d",
-		f.Bodies, f.Shared, f.ArrivingBodies, f.WaitingBodies, f.Memory, f.Files, f.Disk)
+	event.Bodies.Log(f.Bodies, f.Shared, f.ArrivingBodies, f.WaitingBodies, f.Memory, f.Files, f.Disk)
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	"linkpass/internal/control"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/discovery"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/store"
 )
@@ -118,7 +118,7 @@
 		return
 	}
 	if err := p.openControl(); err != nil {
-		log.Printf("event=control_failed err=%q", err)
+		event.ControlFailed.Log(err)
 		return
 	}
 	serve(func() { accept(p.control, p.controlLn) })
--- a/internal/daemon/reshape.go
+++ b/internal/daemon/reshape.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"log"
 	"sync"
 	"time"
 
 	"linkpass/internal/catalog"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/discovery"
+	"linkpass/internal/event"
 	"linkpass/internal/layout/reshape"
 	"linkpass/internal/layout/steward"
 )
@@ -70,7 +70,7 @@
 			if n.Layout != nil {
 				version = n.Layout.Version()
 			}
-			log.Printf("event=layout_changed index=%s version=%d came=%d went=%d", n.Collection, version, len(n.Came), len(n.Went))
+			event.LayoutChanged.Log(n.Collection, version, len(n.Came), len(n.Went))
 		}
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"log"
 	"net"
 	"os"
 	"os/signal"
@@ -24,6 +23,7 @@
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
 	"linkpass/internal/discovery"
+	"linkpass/internal/event"
 	"linkpass/internal/frame"
 	"linkpass/internal/handover"
 	"linkpass/internal/http1"
@@ -90,11 +90,11 @@
 	cfg, err := Load(env)
 	if err != nil {
 		p.count.Add("config_bad", 1)
-		log.Printf("event=config_kept err=%q", err)
+		event.ConfigKept.Log(err)
 		return
 	}
 	p.count.Add("config_reloaded", 1)
-	log.Printf("event=config_reloaded discovery=%s", cfg.fileDiscovery)
+	event.ConfigReloaded.Log(cfg.fileDiscovery)
 	p.mu.Lock()
 	p.cfg.memoryMB = cfg.memoryMB
 	p.limitMemory()
@@ -118,7 +118,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.share.Processes != s.Processes {
-		log.Printf("event=share processes=%d open=%d", s.Processes, s.Open)
+		event.Share.Log(s.Processes, s.Open)
 	}
 	p.share = s
 	p.limitMemory()
@@ -182,7 +182,7 @@
 	if p.control != nil {
 		all.Go(func() { accept(p.control, p.controlLn) })
 	}
-	log.Printf("event=started name=%s discovery=%s servers=%d", cfg.name, cfg.discovery, len(cfg.known.Servers))
+	event.Started.Log(cfg.name, cfg.discovery, len(cfg.known.Servers))
 
 	usable, warm := p.watcher.Usable(), make(chan struct{})
 	for serving := true; serving; {
@@ -205,7 +205,7 @@
 			err := p.search()
 			p.mu.Unlock()
 			if err != nil {
-				log.Printf("event=search_failed err=%q", err)
+				event.SearchFailed.Log(err)
 			} else if len(p.fronts) > n {
 				open(n)
 			}
@@ -264,14 +264,14 @@
 		p.bodies.Close()
 	}
 	p.count.Print("exit")
-	log.Printf("event=stopped")
+	event.Stopped.Log()
 	return err
 }
 
 func accept(s *http1.Server, ln net.Listener) {
-	log.Printf("event=listening front=%s addr=%s", s.Name, ln.Addr())
+	event.Listening.Log(s.Name, ln.Addr())
 	if err := s.Serve(ln); err != nil {
-		log.Printf("event=front_failed front=%s err=%q", s.Name, err)
+		event.FrontFailed.Log(s.Name, err)
 	}
 }
 
@@ -287,7 +287,7 @@
 		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1)}
 	p.follow(func() *catalog.Catalog { return &cfg.Search.Catalog })
 	if p.post, err = handover.Join(os.TempDir(), cfg.name, cfg.module.MaxOpen, p.keepTo); err != nil {
-		log.Printf("event=handover_failed err=%q", err) // one that runs alone does without
+		event.HandoverFailed.Log(err) // one that runs alone does without
 		p.keepTo(handover.Share{Processes: 1, Open: cfg.module.MaxOpen})
 	}
 	made := p // a return of nil must not take from the clean-up what it cleans up
@@ -471,7 +471,7 @@
 	if p.cfg.listenFD != 0 {
 		wait = 0
 	}
-	log.Printf("event=stopping grace_ms=%d", wait.Milliseconds())
+	event.Stopping.Log(wait.Milliseconds())
 	time.Sleep(wait)
 	for _, ln := range p.lns {
 		_ = ln.Close()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"log"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -19,6 +18,7 @@
 	"linkpass"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 )
 
@@ -223,7 +223,7 @@
 		}
 		if failing && r.err == nil {
 			failing = false
-			log.Printf("event=discovery_back addr=%s", w.Addr)
+			event.DiscoveryBack.Log(w.Addr)
 		}
 		if r.err != nil {
 			w.Counters.Add("discovery_failed", 1)
@@ -233,7 +233,7 @@
 			}
 			// Guards the log against one line for each of the tries while discovery is down.
 			if !failing {
-				log.Printf("event=discovery_failed addr=%s err=%q", w.Addr, r.err)
+				event.DiscoveryFailed.Log(w.Addr, r.err)
 			}
 			failing = true
 			select {
@@ -257,7 +257,7 @@
 	if held != nil {
 		_ = held.Close()
 	}
-	log.Printf("event=discovery_moved from=%s to=%s", w.Addr, addr)
+	event.DiscoveryMoved.Log(w.Addr, addr)
 	w.Counters.Add("discovery_moved", 1)
 	w.Addr, w.version, w.answers, w.pause = addr, none, 0, pauseFirst
 	return nil
@@ -320,7 +320,7 @@
 
 func (w *Watcher) bad(err error) {
 	w.Counters.Add("discovery_bad", 1)
-	log.Printf("event=list_bad err=%q", err)
+	event.ListBad.Log(err)
 }
 
 func (w *Watcher) take(data []byte) error {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
-	"log"
+	"linkpass/internal/event"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -147,8 +147,8 @@
 // While discovery is down every try counts, but only the first is logged.
 func TestDiscoveryThatIsDownIsLoggedOnce(t *testing.T) {
 	var lines bytes.Buffer
-	log.SetOutput(&lines)
-	defer log.SetOutput(os.Stderr)
+	event.SetOutput(&lines, false)
+	defer event.SetOutput(os.Stderr, false)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,97 @@
+package event
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// written takes what is logged meanwhile.
+func written(asJSON bool, log func()) string {
+	var out bytes.Buffer
+	SetOutput(&out, asJSON)
+	defer SetOutput(os.Stderr, false)
+	log()
+	return out.String()
+}
+
+// However many bad requests a second come, the log has one line a second for them.
+func TestLinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := written(false, func() {
+			var lines Lines
+			for range 1000 { // ten seconds
+				lines.Log(ListBad, "x")
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		if n := strings.Count(got, "event=list_bad"); n <= linesAtOnce || n > linesAtOnce+10 {
+			t.Errorf("%d lines", n)
+		}
+	})
+}
+
+// What comes from outside cannot forge a line, as text or as JSON.
+func TestALineStaysALine(t *testing.T) {
+	err := errors.Join(errors.New("one"), errors.New("event=stopped"))
+	log := func() { ListBad.Log(err); QueryRejected.Log("platform", 400, "a\r\nb \"c\"") }
+	text := written(false, log)
+	for _, want := range []string{`discovery: list bad: event=list_bad err="one; event=stopped"`, "front=platform status=400"} {
+		if !strings.Contains(text, want) || strings.Count(text, "\n") != 2 {
+			t.Errorf("%q lacks %q", text, want)
+		}
+	}
+	for _, line := range strings.Split(strings.TrimSpace(written(true, log)), "\n") {
+		var v map[string]any
+		if err := json.Unmarshal([]byte(line), &v); err != nil || v["event"] == nil || v["@level"] != "warn" || v["@module"] == "" {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+}
+
+// Levels hold by part, at once, and through a change of the output.
+func TestLevelsByPart(t *testing.T) {
+	defer func() { _ = SetLevel("all", "info"); _ = SetLevel(raftPart, "warn") }()
+	if SetLevel("peer", "loud") == nil || SetLevel("nobody", "warn") == nil {
+		t.Error("nonsense was taken")
+	}
+	if err := SetLevel("discovery", "error"); err != nil {
+		t.Fatal(err)
+	}
+	got := written(false, func() { ListBad.Log("x"); Stopped.Log(); Raft().Info("talk"); Raft().Warn("lost") })
+	if strings.Contains(got, "list_bad") || strings.Contains(got, "talk") || !strings.Contains(got, "event=stopped") ||
+		!strings.Contains(got, "lost: event=raft") || Levels()["discovery"] != "error" {
+		t.Error(got)
+	}
+	if err := SetLevel("all", "off"); err != nil || written(false, func() { Failed.Log("x") }) != "" {
+		t.Error("off is not off", err)
+	}
+}
+
+// docs/oncall.md has the table that the registry makes; UPDATE_DOCS=1 writes it.
+func TestTheTableOfEventsIsCurrent(t *testing.T) {
+	path := filepath.Join("..", "..", "docs", "oncall.md")
+	page, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const from, to = "<!-- events -->\n", "<!-- end -->\n"
+	before, rest, ok := strings.Cut(string(page), from)
+	_, after, also := strings.Cut(rest, to)
+	if !ok || !also {
+		t.Fatal("the table has no place")
+	}
+	want := before + from + Table() + to + after
+	if os.Getenv("UPDATE_DOCS") != "" {
+		err = os.WriteFile(path, []byte(want), 0o644)
+	}
+	if err != nil || want != string(page) && os.Getenv("UPDATE_DOCS") == "" {
+		t.Errorf("docs/oncall.md is not what the registry says (UPDATE_DOCS=1 go test ./internal/event writes it): %v", err)
+	}
+}
--- /dev/null
+++ b/internal/event/registry.go
@@ -0,0 +1,132 @@
+package event
+
+import "github.com/hashicorp/go-hclog"
+
+// The events of the program. Each is logged in one way, by its fields in this order.
+var (
+	BodiesMemoryOnly = register("bodies", "bodies_memory_only", "dir err", hclog.Warn,
+		"files for bodies can't be used at all; they lie in memory",
+		"see [bodies.md](bodies.md); free the directory, then restart")
+	BodiesFilesBack = register("bodies", "bodies_files_back", "", hclog.Info,
+		"files take bodies again",
+		"nothing")
+	BodyLost = register("bodies", "body_lost", "class bytes err", hclog.Warn,
+		"a body could not be read back; the query goes on without another attempt of its parts",
+		"see [bodies.md](bodies.md)")
+	BodiesFilesRest = register("bodies", "bodies_files_rest", "ms err", hclog.Warn,
+		"a write to a file failed; files take nothing for so long",
+		"see that the disk has room; bodies go to memory meanwhile")
+	ConfigBad = register("daemon", "config_bad", "err", hclog.Error,
+		"the configuration can't be used; exit code 1",
+		"the line names the file and the key: correct it, start again")
+	Failed = register("daemon", "failed", "err", hclog.Error,
+		"the program could not start, or ended with an error; exit code 1",
+		"most often an address in use or a store's directory that can't be written")
+	QueryOverdue = register("core", "query_overdue", "query class", hclog.Error,
+		"the module let a query's time pass; the core failed it",
+		"a fault of the program: keep the log, tell the developers")
+	Bodies = register("bodies", "bodies", "held shared arriving waiting memory files disk", hclog.Info,
+		"where the bodies of queries lie, and what fails there",
+		"see [bodies.md](bodies.md)")
+	ControlFailed = register("control", "control_failed", "err", hclog.Error,
+		"the operators' API could not open after the other process had gone",
+		"free its socket or address, then restart")
+	LayoutChanged = register("reshape", "layout_changed", "index version came went", hclog.Info,
+		"a version of a layout took hold; so many slices are held since, so many no more",
+		"nothing; see [slices.md](slices.md)")
+	ConfigKept = register("daemon", "config_kept", "err", hclog.Warn,
+		"SIGHUP came, but the new configuration can't be used; all stays as it was",
+		"correct the file that the line names, send SIGHUP again")
+	ConfigReloaded = register("daemon", "config_reloaded", "discovery", hclog.Info,
+		"SIGHUP came; the file's address of discovery and limit on memory hold now, all else from the next start on",
+		"nothing; `event=discovery_moved` follows if the address is another one")
+	Share = register("handover", "share", "processes open", hclog.Info,
+		"so many processes of this coordinator run and share the limits; this one may hold `open` queries and parts",
+		"nothing; `processes=1` follows once the other has ended")
+	Started = register("daemon", "started", "name discovery servers", hclog.Info,
+		"the program serves; `servers` is the size of the list it began with",
+		"nothing")
+	SearchFailed = register("search", "search_failed", "err", hclog.Error,
+		"the search front or the store could not start after the other process had gone",
+		"free their address and files, then restart")
+	Stopped = register("daemon", "stopped", "", hclog.Info,
+		"the planned end, exit code 0",
+		"nothing; if it is missing, the process was killed")
+	Listening = register("fronts", "listening", "front addr", hclog.Info,
+		"a front (`platform`, `search`) or the operators' door (`operator`) takes connections",
+		"on the platform only `platform` and `operator` may show; if `search` does, empty `listen` in `deploy/opensearch.toml`")
+	FrontFailed = register("fronts", "front_failed", "front err", hclog.Error,
+		"a listener broke",
+		"restart the coordinator")
+	HandoverFailed = register("handover", "handover_failed", "err", hclog.Warn,
+		"`$TMPDIR` can't be used to find another process of this coordinator, or that one said what can't be read",
+		"the program serves with the whole limits; see that `$TMPDIR` can be written before the next change of version")
+	Stopping = register("daemon", "stopping", "grace_ms", hclog.Info,
+		"SIGTERM came; new connections are taken for that long still (0 where the platform holds the socket)",
+		"nothing; `event=stopped` follows once all is answered")
+	DiscoveryBack = register("discovery", "discovery_back", "addr", hclog.Info,
+		"the watch goes on after a break",
+		"nothing")
+	DiscoveryFailed = register("discovery", "discovery_failed", "addr err", hclog.Warn,
+		"the watch on the list broke or said nothing for 1.75 s (2.5 s where it begins), or discovery turned the call away (`status 503`); it is tried again after 50 ms, then ever more seldom up to 1.6 s, without further lines until it is back",
+		"the last list stays in force; if it goes on, look at discovery's agent")
+	DiscoveryMoved = register("discovery", "discovery_moved", "from to", hclog.Info,
+		"the list is followed at another address from now on",
+		"nothing; `event=discovery_failed` after it means that the new address does not answer")
+	ListBad = register("discovery", "list_bad", "err", hclog.Warn,
+		"discovery sent a list that can't be used; it was dropped, the whole list is asked for",
+		"the line names the entry: correct the registry")
+	HandoverBad = register("handover", "handover_bad", "line", hclog.Warn,
+		"another process of this coordinator said what can't be read",
+		"bring both to one version")
+	AcceptFailed = register("fronts", "accept_failed", "front err", hclog.Warn,
+		"no connection could be accepted, most often for want of descriptors",
+		"compare open descriptors with the limit; see `platform_conns_over`")
+	RequestMalformed = register("fronts", "request_malformed", "front status reason", hclog.Warn,
+		"a client sent what is no HTTP, or took too long over a request (408: 2.5 s from connecting; 2 s for a later one); its connection was closed",
+		"if frequent, find the client; nothing is lost here")
+	ReshapeLeads = register("reshape", "reshape_leads", "", hclog.Info,
+		"this instance leads the store and drives the plans of the layouts from now on",
+		"nothing")
+	DutyFailed = register("reshape", "duty_failed", "server err", hclog.Warn,
+		"a league server did not take its duties; it counts as unsound for plans",
+		"look at that server; searches go on")
+	ReshapeStep = register("reshape", "reshape_step", "index plan step why", hclog.Info,
+		"a plan went to its next step, or was abandoned",
+		"for `abandoned` see why, then `resume` it")
+	ReshapeStepFailed = register("reshape", "reshape_step_failed", "index plan step err", hclog.Warn,
+		"the store could not take a step; it is tried again",
+		"as for `event=store_failed`")
+	ProtocolChanged = register("peer", "protocol_changed", "server from to", hclog.Info,
+		"later parts to that server go out in the new protocol",
+		"nothing, if the settings were changed on purpose")
+	SearchRejected = register("search", "search_rejected", "status type reason", hclog.Warn,
+		"a search that can't be served as asked (unknown index or slice, unsupported query); nothing was sent",
+		"for `index_not_found_exception` and `shard_not_found_exception` compare the settings' indices with the deployment's slices")
+	StoreFailed = register("store", "store_failed", "err", hclog.Warn,
+		"a read or a change of the settings failed",
+		"`no leader` or `a majority did not confirm`: see that more than half of the members run and reach each other; searches go on with the settings last known")
+	State = register("operator", "state", "from to", hclog.Info,
+		"whether clients are wanted: `starting`, `serving`, `drained` (on request), `ending` (SIGTERM)",
+		"see [operations.md](operations.md)")
+	DialFailed = register("peer", "dial_failed", "server addr end", hclog.Warn,
+		"no connection to a league server: `dial_refused` (no process), `dial_timeout` (machine gone or cut off), `dial_failed`",
+		"if one server: look at it; if all of a data centre: look at the links")
+	ConnLost = register("peer", "conn_lost", "server end parts probes", hclog.Warn,
+		"a connection ended with work out: `broken` (reset), `closed`, `garbled`, `rejected` (the server could not use what it got); `silent` is not logged: a probe went out, nothing came for a fifth of the connect timeout, and nothing else was out or the server spoke on another connection meanwhile",
+		"`broken` follows a server's death; the module sends the parts elsewhere")
+	MessageBad = register("peer", "message_bad", "server end err", hclog.Warn,
+		"a league server sent what can't be read; the connection was dropped",
+		"if it goes on, the server speaks another protocol than the settings say, or another version")
+	QueryRejected = register("platform", "query_rejected", "front status err", hclog.Warn,
+		"a well-framed request that is no query of ours, or one under the name of a query that is open (409); answered 4xx",
+		"the line says what is wrong with it")
+	SettingsBad = register("store", "settings_bad", "index err", hclog.Warn,
+		"an entry of the store can't be used; the settings stay as they were",
+		"instances of different versions: bring them to one")
+	SettingsChanged = register("store", "settings_changed", "index", hclog.Info,
+		"the store applied a change of the search settings",
+		"nothing")
+	Counters = register("daemon", "counters", "why", hclog.Info,
+		"the counters, on SIGUSR1 or at exit", "see below")
+)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -6,12 +6,13 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"log"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
+
+	"linkpass/internal/event"
 )
 
 // Share is the part of the limits that a process may use.
@@ -87,14 +88,14 @@
 		}
 		var s Share
 		if _, err := fmt.Sscanf(line, "processes=%d open=%d\n", &s.Processes, &s.Open); err != nil || s.Processes < 2 || s.Open < 0 {
-			log.Printf("event=handover_bad line=%q", line)
+			event.HandoverBad.Log(line)
 			break
 		}
 		p.share(s)
 	}
 	_ = nc.Close()
 	if err := p.claim(); err != nil {
-		log.Printf("event=handover_failed err=%q", err)
+		event.HandoverFailed.Log(err)
 	}
 }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"net/textproto"
 	"os"
@@ -15,6 +14,7 @@
 	"time"
 
 	"linkpass/internal/counters"
+	"linkpass/internal/event"
 )
 
 // Handler answers requests. began is when the request's first byte was seen;
@@ -65,7 +65,7 @@
 	MaxBody  int64
 	Spools   func(*Request) Spool // of large bodies; nil: they lie in memory
 
-	lines    counters.Lines // on requests that can't be read
+	lines    event.Lines // on requests that can't be read
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	draining bool
@@ -101,7 +101,7 @@
 		}
 		if err != nil {
 			// Guards against a shortage of descriptors: it passes, the listener stays.
-			log.Printf("event=accept_failed front=%s err=%q", s.Name, err)
+			event.AcceptFailed.Log(s.Name, err)
 			s.Counters.Add(s.Name+"_accept_failed", 1)
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -409,7 +409,7 @@
 		return // cut short: nobody is there to be told
 	}
 	c.server.Counters.Add(c.server.Name+"_malformed", 1)
-	c.server.lines.Printf("event=request_malformed front=%s status=%d reason=%q", c.server.Name, bad.Status, bad.Reason)
+	c.server.lines.Log(event.RequestMalformed, c.server.Name, bad.Status, bad.Reason)
 	res := &Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")}
 	if bad.RetryAfter != "" {
 		res.Header = textproto.MIMEHeader{"Retry-After": {bad.RetryAfter}}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"log"
+	"linkpass/internal/event"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,8 +15,8 @@
 // A short run of the experiment keeps every rule and leaves its tables and its chart. How fast it
 // was is not looked at.
 func TestReshapeKeepsTheRules(t *testing.T) {
-	log.SetOutput(io.Discard)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
 	t.Setenv("TMPDIR", t.TempDir())
 	dir := t.TempDir()
 	ok, err := Reshape(ReshapeConfig{Seeds: []uint64{7}, Seconds: 4, Servers: 12, Rate: 30, Every: time.Second, Out: dir})
@@ -59,8 +59,8 @@
 // A server that claims a version that does not exist, one that is cut off, one that is slow and one that
 // speaks plain frames: searches of the whole index are answered whole, by the twins and by the plain one.
 func TestSearchesBesideBadServers(t *testing.T) {
-	log.SetOutput(io.Discard)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
 	t.Setenv("TMPDIR", t.TempDir())
 	d, err := StartDemo(3)
 	if err != nil {
--- a/internal/layout/steward/steward.go
+++ b/internal/layout/steward/steward.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
 	"maps"
 	"net"
 	"slices"
@@ -19,6 +18,7 @@
 	"linkpass/internal/catalog"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/layout"
 	"linkpass/internal/layout/reshape"
@@ -83,7 +83,7 @@
 	reports    map[string]map[string]reshape.Report
 	failed     map[string]time.Duration // when a server's last call failed; absent: it did not
 	lines      map[string]*line
-	problems   counters.Lines
+	problems   event.Lines
 }
 
 // line is the connection to a server, kept between calls.
@@ -131,7 +131,7 @@
 			continue
 		}
 		if s.controller == nil {
-			log.Printf("event=reshape_leads")
+			event.ReshapeLeads.Log()
 			s.controller = reshape.New(s.cfg.Limits)
 			s.reports, s.failed = map[string]map[string]reshape.Report{}, map[string]time.Duration{}
 		}
@@ -228,7 +228,7 @@
 		if h.err != nil {
 			s.failed[h.name] = s.cfg.Now()
 			s.cfg.Counters.Add("reshape_calls_failed", 1)
-			s.problems.Printf("event=duty_failed server=%s err=%q", h.name, h.err)
+			s.problems.Log(event.DutyFailed, h.name, h.err)
 			continue
 		}
 		delete(s.failed, h.name)
@@ -306,11 +306,11 @@
 	switch {
 	case err == nil:
 		s.cfg.Counters.Add("reshape_"+what, 1)
-		log.Printf("event=reshape_step index=%s plan=%d step=%s why=%q", step.Index, plan, what, step.Why)
+		event.ReshapeStep.Log(step.Index, plan, what, step.Why)
 	case errors.Is(err, layout.ErrVersion), errors.Is(err, store.ErrConflict):
 		s.cfg.Counters.Add("reshape_conflicts", 1)
 	default:
 		s.cfg.Counters.Add("reshape_steps_failed", 1)
-		s.problems.Printf("event=reshape_step_failed index=%s plan=%d step=%s err=%q", step.Index, plan, what, err)
+		s.problems.Log(event.ReshapeStepFailed, step.Index, plan, what, err)
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -3,12 +3,12 @@
 package link
 
 import (
-	"log"
 	"slices"
 	"time"
 
 	"linkpass"
 	"linkpass/internal/coordinator"
+	"linkpass/internal/event"
 )
 
 // Carrier is the actor that speaks with one server.
@@ -98,7 +98,7 @@
 func (s *Set) speak(m *member) {
 	protocol := s.protocols.Of(m.Name)
 	if m.carrier != nil && m.protocol != protocol {
-		log.Printf("event=protocol_changed server=%s from=%s to=%s", m.Name, m.protocol, protocol)
+		event.ProtocolChanged.Log(m.Name, m.protocol, protocol)
 		s.retire(m)
 	}
 	if m.carrier == nil {
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -17,6 +17,7 @@
 	"linkpass/internal/catalog"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 )
 
@@ -46,7 +47,7 @@
 	Counters *counters.Set
 
 	searches atomic.Uint64
-	lines    counters.Lines // on searches that are turned down
+	lines    event.Lines // on searches that are turned down
 }
 
 type shards struct {
@@ -106,7 +107,7 @@
 
 func (f *Front) reject(c *cause) *http1.Response {
 	f.Counters.Add("search_rejected", 1)
-	f.lines.Printf("event=search_rejected status=%d type=%s reason=%q", c.Status, c.Type, c.Reason)
+	f.lines.Log(event.SearchRejected, c.Status, c.Type, c.Reason)
 	return errorResponse(c)
 }
 
--- a/internal/opensearch/settings.go
+++ b/internal/opensearch/settings.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
 	"net/url"
 	"time"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/store"
 )
@@ -86,6 +86,6 @@
 	case errors.Is(err, store.ErrNoQuorum):
 		c.Type = "process_cluster_event_timeout_exception"
 	}
-	log.Printf("event=store_failed err=%q", err)
+	event.StoreFailed.Log(err)
 	return errorResponse(c)
 }
--- a/internal/operator/gate.go
+++ b/internal/operator/gate.go
@@ -4,8 +4,9 @@
 package operator
 
 import (
-	"log"
 	"sync"
+
+	"linkpass/internal/event"
 )
 
 // State is where the coordinator stands towards its clients.
@@ -96,7 +97,7 @@
 		}
 	}
 	if before != after {
-		log.Printf("event=state from=%s to=%s", before, after)
+		event.State.Log(before, after)
 	}
 	return after
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,6 +17,7 @@
 	"linkpass/internal/bodies"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 )
 
@@ -36,7 +37,7 @@
 	Worth    []float64     // of the classes, by number
 	Retry    string        // what a client is told whose body finds no room, in seconds; "": nothing
 
-	lines counters.Lines // on requests that are no query
+	lines event.Lines // on requests that are no query
 
 	mu   sync.Mutex
 	open map[string]bool // names of the queries being answered
@@ -82,7 +83,7 @@
 	}
 	if err != nil {
 		f.Counters.Add("platform_rejected", 1)
-		f.lines.Printf("event=query_rejected front=platform status=%d err=%q", status, err)
+		f.lines.Log(event.QueryRejected, status, err)
 		return &http1.Response{Status: status, Body: []byte(err.Error() + "\n")}
 	}
 	defer f.leave(query.Name)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"os"
 	"path/filepath"
@@ -20,6 +19,7 @@
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/event"
 )
 
 // Member is one instance of the store.
@@ -88,7 +88,7 @@
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	logger := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: &lineWriter{}, DisableTime: true})
+	logger := event.Raft()
 	rc := raft.DefaultConfig()
 	rc.LocalID, rc.Logger = raft.ServerID(c.ID), logger
 	if c.Pace > 0 {
@@ -279,11 +279,11 @@
 		err = next.Follows(now)
 	}
 	if err != nil {
-		log.Printf("event=settings_bad index=%d err=%q", entry.Index, err)
+		event.SettingsBad.Log(entry.Index, err)
 		return err
 	}
 	m.set(next)
-	log.Printf("event=settings_changed index=%d", entry.Index)
+	event.SettingsChanged.Log(entry.Index)
 	return nil
 }
 
@@ -327,15 +327,6 @@
 	return net.DialTimeout("tcp", string(addr), limit)
 }
 
-// lineWriter hands the library's lines to the program's log.
-type lineWriter struct{}
-
-// Write logs one line.
-func (*lineWriter) Write(b []byte) (int, error) {
-	log.Printf("event=raft line=%q", b)
-	return len(b), nil
-}
-
 // Members are the instances that the store was told of.
 func (s *Store) Members() []Member { return s.config.Members }
 
