The program starts and ends as one ordered list of parts

Need: one type wired everything by hand, its clean-up listed twice. internal/parts orders subsystems (needs, open, run, close within a limit): all open or none, closed in reverse, an error names the part, one that does not end is left behind and named; what listens where another process may still listen opens late, each by itself. internal/daemon has the list in one place, a file for each part.

--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -104,6 +104,14 @@
 	return nil
 }
 
+func (p *Program) closeBodies() error {
+	p.printBodies()
+	if p.bodies != nil {
+		p.bodies.Close()
+	}
+	return nil
+}
+
 // retry is what a client is told whose body finds no room.
 func (p *Program) retry() string {
 	if !p.cfg.module.RetryAfter {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -16,8 +17,8 @@
 	"linkpass/internal/control"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/discovery"
-	"linkpass/internal/event"
 	"linkpass/internal/http1"
+	"linkpass/internal/parts"
 	"linkpass/internal/store"
 )
 
@@ -82,46 +83,51 @@
 
 var _ discovery.Core = listTee{}
 
-// openControl takes the socket of the operators' API. A file that a crash left is replaced; one
-// that somebody listens on is not.
-func (p *Program) openControl() (err error) {
-	path := p.cfg.Search.Operator.Socket
-	if path == "" {
+// controlPart is the operators' API.
+func (p *Program) controlPart() parts.Part {
+	var e *entrance
+	return parts.Part{Name: "control", Needs: []string{"core"}, Late: true, Open: func() (err error) {
+		if p.cfg.Search.Operator.Socket == "" {
+			return nil
+		}
+		ln, err := listenSocket(p.cfg.Search.Operator.Socket)
+		if err != nil {
+			return err
+		}
+		e = &entrance{&http1.Server{Name: "control", Handler: control.Handler{Coordinator: p}, Clock: p.core, Counters: p.count,
+			MaxConns: controlConns, MaxBody: controlBody}, ln}
 		return nil
-	}
+	}, Run: func(ctx context.Context) {
+		if e != nil {
+			e.run(ctx)
+		}
+	}, Close: func() error { return e.close() }}
+}
+
+// listenSocket takes the socket of the operators' API. A file that a crash left is replaced; one
+// that somebody listens on is not.
+func listenSocket(path string) (net.Listener, error) {
 	if _, err := os.Stat(path); err == nil {
 		if nc, err := net.DialTimeout("unix", path, time.Second); err == nil {
 			_ = nc.Close()
-			return fmt.Errorf("operators' API: another process listens at %s", path)
+			return nil, fmt.Errorf("another process listens at %s", path)
 		}
 		if err := os.Remove(path); err != nil {
-			return fmt.Errorf("operators' API: what a crash left: %w", err)
+			return nil, fmt.Errorf("what a crash left: %w", err)
 		}
 	}
 	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-		return fmt.Errorf("operators' API: %w", err)
+		return nil, err
 	}
-	if p.controlLn, err = net.Listen("unix", path); err != nil {
-		return fmt.Errorf("operators' API: %w", err)
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
 	}
 	if err := os.Chmod(path, 0o600); err != nil {
-		return fmt.Errorf("operators' API: %w", err)
-	}
-	p.control = &http1.Server{Name: "control", Handler: control.Handler{Coordinator: p}, Clock: p.core, Counters: p.count,
-		MaxConns: controlConns, MaxBody: controlBody}
-	return nil
-}
-
-// takeControl opens the API late, once the other process of a change of version has let go of it.
-func (p *Program) takeControl(serve func(func())) {
-	if p.control != nil || p.cfg.Search.Operator.Socket == "" {
-		return
-	}
-	if err := p.openControl(); err != nil {
-		event.ControlFailed.Log(err)
-		return
+		_ = ln.Close()
+		return nil, err
 	}
-	serve(func() { accept(p.control, p.controlLn) })
+	return ln, nil
 }
 
 // ProgramVersion is what the build knows of itself.
--- a/internal/daemon/reshape.go
+++ b/internal/daemon/reshape.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -75,8 +76,18 @@
 	}
 }
 
-// newSteward makes the steward of the layouts; it works once the store is open.
-func (p *Program) newSteward() error {
+func (p *Program) runSteward(ctx context.Context) {
+	if p.steward != nil {
+		p.steward.Run(ctx)
+	}
+}
+
+// openLayouts makes what follows the layouts, and with a store their steward, which works once the store is open.
+func (p *Program) openLayouts() error {
+	p.layouts = &layouts{core: p.core}
+	if p.cfg.Search.Listen == "" || p.cfg.Search.Store.ID == "" {
+		return nil
+	}
 	longest := time.Duration(0)
 	for _, class := range p.cfg.module.Classes {
 		longest = max(longest, class.Deadline)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -3,15 +3,12 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,8 +28,8 @@
 	"linkpass/internal/link"
 	"linkpass/internal/opensearch"
 	"linkpass/internal/operator"
+	"linkpass/internal/parts"
 	"linkpass/internal/peer"
-	"linkpass/internal/platform"
 	"linkpass/internal/store"
 )
 
@@ -64,15 +61,16 @@
 	bodies     *bodies.Store
 	roster     roster
 	began      time.Time
-	control    *http1.Server // the operators' API; nil: none
-	controlLn  net.Listener
 	bodyLimits tier.Limits // of all processes together
 	gate       operator.Gate
+	parts      *parts.List
 	fronts     []*http1.Server
 	lns        []net.Listener // of the fronts, in their order
-	door       *http1.Server  // nil: none
-	doorLn     net.Listener
-	dials      *peer.Places // connections that all league servers may take
+	door       *entrance      // nil: none
+	welcome    chan struct{}  // closed once clients are to be let in
+	leaving    chan struct{}  // closed once no more are
+	accepting  sync.WaitGroup // what lets clients in
+	dials      *peer.Places   // connections that all league servers may take
 	current    atomic.Pointer[func() *catalog.Catalog]
 
 	post  *handover.Post
@@ -154,38 +152,55 @@
 }
 
 // Serve serves until the context ends, then finishes what was taken.
-func (p *Program) Serve(term context.Context, news <-chan os.Signal) (err error) {
+func (p *Program) Serve(term context.Context, news <-chan os.Signal) error {
 	cfg := p.cfg
 	ctx, cancel := context.WithCancel(context.Background())
-	var all, accepting sync.WaitGroup
+	defer cancel()
 	coreDone := make(chan struct{})
 	go func() {
 		defer close(coreDone)
 		p.core.Run(ctx)
 	}()
-	all.Go(func() { p.watcher.Run(ctx, cfg.known) })
-	if p.steward != nil {
-		all.Go(func() { p.steward.Run(ctx) })
-	}
-	open := func(i int) { accepting.Go(func() { accept(p.fronts[i], p.lns[i]) }) }
 	p.mu.Lock()
 	young := p.young()
 	p.mu.Unlock()
-	for i := range p.fronts {
-		if !young {
-			open(i)
-		}
+	if !young {
+		close(p.welcome)
 	}
-	if p.door != nil {
-		all.Go(func() { accept(p.door, p.doorLn) })
+	p.parts.Run(context.Background())
+	event.Started.Log(cfg.name, cfg.discovery, len(cfg.known.Servers))
+	p.follow(term, news, young)
+
+	stopping := make(chan struct{})
+	go func() {
+		defer close(stopping)
+		p.stop()
+	}()
+	select {
+	case <-stopping:
+	case <-time.After(p.patience()):
+		// The platform is about to kill: what is still open is failed while that can be told.
 	}
-	if p.control != nil {
-		all.Go(func() { accept(p.control, p.controlLn) })
+	cancel()
+	<-coreDone
+	select {
+	case <-stopping:
+	case <-time.After(lastWords): // no deadline is swept any more: who does not read now never will
+		for _, front := range p.fronts {
+			front.Close()
+		}
+		<-stopping
 	}
-	event.Started.Log(cfg.name, cfg.discovery, len(cfg.known.Servers))
+	err := p.parts.Stop()
+	p.count.Print("exit")
+	event.Stopped.Log()
+	return err
+}
 
+// follow does what the news ask for until the context ends.
+func (p *Program) follow(term context.Context, news <-chan os.Signal, young bool) {
 	usable, warm := p.watcher.Usable(), make(chan struct{})
-	for serving := true; serving; {
+	for {
 		select {
 		case <-usable:
 			usable = nil
@@ -197,19 +212,18 @@
 			p.core.Warm(func() { close(warm) })
 		case <-warm:
 			warm = nil
-			open(0)
+			close(p.welcome)
 			p.gate.Open()
 		case <-p.alone:
 			p.mu.Lock()
-			n := len(p.fronts)
-			err := p.search()
+			p.parts.OpenLate(func(name string, err error) {
+				if name == "control" {
+					event.ControlFailed.Log(err)
+				} else {
+					event.SearchFailed.Log(err)
+				}
+			})
 			p.mu.Unlock()
-			if err != nil {
-				event.SearchFailed.Log(err)
-			} else if len(p.fronts) > n {
-				open(n)
-			}
-			p.takeControl(all.Go)
 		case sig := <-news:
 			if sig == syscall.SIGHUP {
 				p.reload(os.Getenv)
@@ -218,150 +232,90 @@
 				p.printBodies()
 			}
 		case <-term.Done():
-			serving = false
+			return
 		}
 	}
-	stopping := make(chan struct{})
-	go func() {
-		defer close(stopping)
-		p.stop(&accepting)
-	}()
-	select {
-	case <-stopping:
-	case <-time.After(p.patience()):
-		// The platform is about to kill: what is still open is failed while that can be told.
-	}
-	cancel()
-	<-coreDone
-	select {
-	case <-stopping:
-	case <-time.After(lastWords): // no deadline is swept any more: who does not read now never will
-		for _, front := range p.fronts {
-			front.Close()
-		}
-		<-stopping
-	}
-	p.links.Close()
-	if p.store != nil {
-		err = p.store.Close()
-	}
-	if p.door != nil {
-		_ = p.doorLn.Close()
-	}
-	if p.control != nil {
-		_ = p.controlLn.Close()
-	}
-	all.Wait()
-	if p.control != nil {
-		p.control.Close()
-	}
-	if p.door != nil {
-		p.door.Close()
-	}
-	p.post.Close()
-	p.printBodies()
-	if p.bodies != nil {
-		p.bodies.Close()
-	}
-	p.count.Print("exit")
-	event.Stopped.Log()
-	return err
 }
 
-func accept(s *http1.Server, ln net.Listener) {
-	event.Listening.Log(s.Name, ln.Addr())
-	if err := s.Serve(ln); err != nil {
-		event.FrontFailed.Log(s.Name, err)
-	}
-}
-
-// Start sets everything up and takes the addresses to listen on.
-func Start(cfg Config) (p *Program, err error) {
+// Start sets everything up and takes the addresses to listen on: all of it, or nothing and an error that names the
+// part.
+func Start(cfg Config) (*Program, error) {
 	if cfg.cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.cores)))
 	}
 	if cfg.sockets <= 0 {
 		cfg.sockets = defaultSockets
 	}
-	p = &Program{cfg: cfg, began: time.Now(), count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
-		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1)}
-	p.follow(func() *catalog.Catalog { return &cfg.Search.Catalog })
-	if p.post, err = handover.Join(os.TempDir(), cfg.name, cfg.module.MaxOpen, p.keepTo); err != nil {
-		event.HandoverFailed.Log(err) // one that runs alone does without
-		p.keepTo(handover.Share{Processes: 1, Open: cfg.module.MaxOpen})
+	p := &Program{cfg: cfg, began: time.Now(), count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
+		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1), welcome: make(chan struct{}), leaving: make(chan struct{})}
+	p.settle(func() *catalog.Catalog { return &cfg.Search.Catalog })
+	p.join()
+	var err error
+	if p.parts, err = parts.New(p.list()...); err == nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		err = p.parts.Open(!p.young())
 	}
-	made := p // a return of nil must not take from the clean-up what it cleans up
-	defer func() {
-		if err != nil {
-			for _, ln := range append(made.lns, made.doorLn, made.controlLn) {
-				if ln != nil {
-					_ = ln.Close()
-				}
-			}
-			if made.store != nil {
-				_ = made.store.Close()
-			}
-			if made.bodies != nil {
-				made.bodies.Close()
-			}
-			made.post.Close()
-		}
-	}()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.young() {
-		cfg.seed ^= uint64(os.Getpid()) * 0x9e3779b97f4a7c15 // chance and names apart from the other's
-		p.cfg.seed = cfg.seed
-	}
-	cfg.module.MaxOpen = p.share.Open
-	p.core, err = coordinator.New(coordinator.Config{Settings: cfg.module, Seed: cfg.seed,
-		ProbeTimeout: cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize,
-		KeepPlans: cfg.Search.Reshape.Replan != nil && !*cfg.Search.Reshape.Replan})
 	if err != nil {
+		p.post.Close()
 		return nil, err
 	}
-	if err := p.openBodies(); err != nil {
-		return nil, err
-	}
-	thin := &platform.Front{Core: p.core, Classes: cfg.host.Classes, Shards: cfg.module.Shards, Counters: p.count}
-	thin.Ready, thin.Bodies, thin.Retry = p.gate.Ready, p.bodies, p.retry()
-	for _, class := range cfg.module.Classes {
-		thin.Worth = append(thin.Worth, class.Worth)
+	return p, nil
+}
+
+// list is the program, part by part, in the order of its start. What listens where the other process of a change of
+// version may still listen comes late.
+func (p *Program) list() []parts.Part {
+	return []parts.Part{
+		{Name: "handover", Close: func() error { p.post.Close(); return nil }},
+		{Name: "core", Needs: []string{"handover"}, Open: p.openCore},
+		{Name: "bodies", Needs: []string{"core"}, Open: p.openBodies, Close: p.closeBodies},
+		{Name: "links", Needs: []string{"core"}, Open: p.openLinks, Close: func() error { p.links.Close(); return nil }},
+		{Name: "layouts", Needs: []string{"core"}, Open: p.openLayouts, Run: p.runSteward},
+		{Name: "discovery", Needs: []string{"links", "layouts"}, Open: p.openDiscovery, Run: func(ctx context.Context) { p.watcher.Run(ctx, p.cfg.known) }},
+		p.platformPart(),
+		p.doorPart(),
+		p.searchPart(),
+		p.controlPart(),
 	}
-	ln, err := clientListener(cfg)
-	if err != nil {
-		return nil, err
+}
+
+// join finds another process of this coordinator, and shares the limits with it.
+func (p *Program) join() {
+	var err error
+	if p.post, err = handover.Join(os.TempDir(), p.cfg.name, p.cfg.module.MaxOpen, p.keepTo); err != nil {
+		event.HandoverFailed.Log(err) // one that runs alone does without
+		p.keepTo(handover.Share{Processes: 1, Open: p.cfg.module.MaxOpen})
 	}
-	p.add("platform", ln, thin)
-	if cfg.operator != "" {
-		if p.doorLn, err = net.Listen("tcp", cfg.operator); err != nil {
-			return nil, fmt.Errorf("operators' door: %w", err)
-		}
-		door := &operator.Door{Gate: &p.gate, Figures: p.figures}
-		p.door = &http1.Server{Name: "operator", Handler: door, Clock: p.core, Counters: p.count, MaxConns: operator.MaxCallers}
+}
+
+func (p *Program) openCore() (err error) {
+	if p.young() {
+		p.cfg.seed ^= uint64(os.Getpid()) * 0x9e3779b97f4a7c15 // chance and names apart from the other's
 	}
-	p.layouts = &layouts{core: p.core}
+	module := p.cfg.module
+	module.MaxOpen = p.share.Open
+	p.core, err = coordinator.New(coordinator.Config{Settings: module, Seed: p.cfg.seed,
+		ProbeTimeout: p.cfg.host.ConnectTimeout, Counters: p.count, Figures: p.figures, Mailbox: mailboxSize,
+		KeepPlans: p.cfg.Search.Reshape.Replan != nil && !*p.cfg.Search.Reshape.Replan})
+	return err
+}
+
+func (p *Program) openLinks() error {
+	p.links = link.NewSet(p.protocols())
+	p.core.Bind(p.links)
+	return nil
+}
+
+func (p *Program) openDiscovery() error {
 	list := listTee{p.core, []listener{&p.roster}}
-	if cfg.Search.Listen != "" && cfg.Search.Store.ID != "" {
-		if err := p.newSteward(); err != nil {
-			return nil, err
-		}
+	if p.steward != nil {
 		list.others = append(list.others, p.steward)
 	}
-	if !p.young() {
-		if err := p.search(); err != nil {
-			return nil, err
-		}
-		if err := p.openControl(); err != nil {
-			return nil, err
-		}
-	}
-	p.watcher = discovery.NewWatcher(cfg.discovery, &discovery.Reader{Zones: cfg.host.Zones, Kinds: cfg.host.Kinds,
-		Cells: cfg.module.Cells, Clock: p.core.Clock}, list, p.count)
-	p.watcher.Seed = cfg.seed
-	p.links = link.NewSet(p.protocols())
-	p.core.Bind(p.links)
-	return p, nil
+	p.watcher = discovery.NewWatcher(p.cfg.discovery, &discovery.Reader{Zones: p.cfg.host.Zones, Kinds: p.cfg.host.Kinds,
+		Cells: p.cfg.module.Cells, Clock: p.core.Clock}, list, p.count)
+	p.watcher.Seed = p.cfg.seed
+	return nil
 }
 
 // shareSockets divides the descriptors: half of what the program does not need for
@@ -372,81 +326,6 @@
 	return max(1, rest/2/fronts), rest - rest/2
 }
 
-// clientListener is where clients come in: the platform's socket, if it holds one that
-// outlives this process, or a socket of our own. The platform's is only ever closed
-// here, never shut: others accept on it too.
-func clientListener(cfg Config) (net.Listener, error) {
-	if cfg.listenFD == 0 {
-		ln, err := net.Listen("tcp", cfg.listen)
-		if err != nil {
-			return nil, fmt.Errorf("front platform: %w", err)
-		}
-		return ln, nil
-	}
-	f := os.NewFile(uintptr(cfg.listenFD), "ROUTER_LISTEN_FD")
-	defer f.Close()
-	ln, err := net.FileListener(f)
-	if err != nil {
-		return nil, fmt.Errorf("front platform: ROUTER_LISTEN_FD %d: %w", cfg.listenFD, err)
-	}
-	return ln, nil
-}
-
-// add sets up one front on a listener.
-func (p *Program) add(name string, ln net.Listener, h http1.Handler) {
-	server := &http1.Server{Name: name, Handler: h, Clock: p.core, Counters: p.count, MaxConns: p.clients}
-	p.lns, p.fronts = append(p.lns, ln), append(p.fronts, server)
-	p.gate.Follow(server)
-}
-
-// follow names the search settings that hold.
-func (p *Program) follow(current func() *catalog.Catalog) { p.current.Store(&current) }
-
-// search sets up the search front, and the store where there is one. The other process
-// must have gone: it has the address and the store's files.
-func (p *Program) search() (err error) {
-	if p.cfg.Search.Listen == "" || len(p.fronts) == p.planned() {
-		return nil
-	}
-	initial := &p.cfg.Search.Catalog
-	p.layouts.take(initial)
-	answers := opensearch.FixedSettings(initial)
-	if p.cfg.Search.Store.ID != "" {
-		c := p.cfg.Search.Store
-		c.Initial, c.Changed = initial, p.layouts.take
-		if p.store, err = store.Open(c); err != nil {
-			return err
-		}
-		p.opened.Store(p.store)
-		p.follow(p.store.Current)
-		answers = opensearch.StoreSettings(p.store)
-	}
-	front := &opensearch.Front{Core: p.core, Shards: p.cfg.module.Shards, Counters: p.count, Catalog: *p.current.Load(),
-		Settings: answers, Prefix: strconv.FormatUint(p.cfg.seed, 16)}
-	if p.store != nil {
-		front.Changes = p.store
-	}
-	front.Bodies = p.bodies
-	for i, name := range p.cfg.host.Classes {
-		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline,
-			Worth: p.cfg.module.Classes[i].Worth})
-	}
-	ln, err := net.Listen("tcp", p.cfg.Search.Listen)
-	if err != nil {
-		if p.store != nil {
-			_ = p.store.Close()
-		}
-		return fmt.Errorf("front search: %w", err)
-	}
-	p.add("search", ln, front)
-	server := p.fronts[len(p.fronts)-1]
-	server.MaxBody = cmp.Or(p.cfg.Search.Bodies.MaxKiB, maxBodyDefault) << 10
-	if p.bodies != nil {
-		server.Spools = p.spools
-	}
-	return nil
-}
-
 // protocols tells how league servers are spoken to.
 func (p *Program) protocols() link.Protocols {
 	common := peer.Config{Sink: p.core, Counters: p.count, Figures: p.figures, Places: p.dials,
@@ -465,7 +344,7 @@
 
 // stop takes in what still comes, then finishes what was taken. Where the platform holds
 // the socket another process accepts on it, and this one stops at once.
-func (p *Program) stop(accepting *sync.WaitGroup) {
+func (p *Program) stop() {
 	p.gate.End()
 	wait := grace
 	if p.cfg.listenFD != 0 {
@@ -473,10 +352,11 @@
 	}
 	event.Stopping.Log(wait.Milliseconds())
 	time.Sleep(wait)
+	close(p.leaving)
 	for _, ln := range p.lns {
 		_ = ln.Close()
 	}
-	accepting.Wait()
+	p.accepting.Wait()
 	time.Sleep(lastCalls - wait)
 	p.post.Leave(p.core.Held())
 	for _, front := range p.fronts {
--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -348,7 +348,7 @@
 	if status, _ := b.query(b.platform, "whole", 15*time.Second, 1, 2); status != 200 {
 		t.Errorf("%d", status)
 	}
-	slow := connect(t, b.p.doorLn.Addr().String()) // a caller that never completes its call
+	slow := connect(t, b.p.door.ln.Addr().String()) // a caller that never completes its call
 	if _, err := slow.nc.Write([]byte("GET /v1")); err != nil {
 		t.Fatal(err)
 	}
@@ -577,7 +577,7 @@
 // figures asks for the figures at the door.
 func (b *bench) figures() map[string]int {
 	b.t.Helper()
-	res := connect(b.t, b.p.doorLn.Addr().String()).ask("GET", "/v1/metrics", "", nil)
+	res := connect(b.t, b.p.door.ln.Addr().String()).ask("GET", "/v1/metrics", "", nil)
 	out := map[string]int{}
 	for line := range strings.Lines(string(res.Body)) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
@@ -661,7 +661,7 @@
 	if cfg.module, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
 		t.Fatal(err)
 	}
-	if p, err := Start(cfg); err == nil || p != nil || !strings.Contains(err.Error(), "operators' door") {
+	if p, err := Start(cfg); err == nil || p != nil || !strings.Contains(err.Error(), "door: listen") {
 		t.Fatalf("started on a taken address: %v", err)
 	}
 	cfg.operator = ""
