Settings have one schema, reload in service, and an API over TCP takes signed calls

Need: ranges and defaults lay in five places, SIGHUP left the operators' file alone, the API knew a socket only. internal/schema checks a TOML text against one table (types, units, ranges, lines) and tells all faults at once; docs/settings.md is made from it and held by a test, as is the table by the types that are read.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -1,19 +1,24 @@
 package cli
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"linkpass/internal/control"
+	"linkpass/internal/control/seal"
 	"linkpass/internal/daemon"
 )
 
@@ -70,7 +75,73 @@
 }
 
 type configCommands struct {
-	Show configShow `cmd:"" help:"The settings as they hold, and where each came from."`
+	Show   configShow   `cmd:"" help:"The settings as they hold, and where each came from."`
+	Reload configReload `cmd:"" help:"Read the files again; tell which keys took hold and which wait for a start."`
+	NewKey configNewKey `cmd:"" help:"Print a line with a fresh key for the file of operator.keys."`
+}
+
+type configReload struct{}
+
+// Run lets the running coordinator read its files again.
+func (configReload) Run(e *env) error {
+	var told control.Reloaded
+	if err := e.client.Call("PUT", "/config/reload", nil, &told); err != nil {
+		return err
+	}
+	return e.show(told, func(w io.Writer) {
+		fmt.Fprintln(w, "KEY\tTAKES HOLD")
+		list := func(how string, keys []string) {
+			for _, k := range keys {
+				fmt.Fprintf(w, "%s\t%s\n", k, how)
+			}
+		}
+		list("now", told.Held)
+		list("with the next start", told.Waiting)
+		list("never: the store says", told.Replicated)
+	})
+}
+
+type configNewKey struct {
+	ID string `arg:"" help:"Of the key."`
+}
+
+// Run makes a key. It goes to standard output alone: nothing is written to a file that others might read.
+func (c configNewKey) Run(e *env) error {
+	key := make([]byte, 32)
+	if _, err := rand.Read(key); err != nil {
+		return fmt.Errorf("a fresh key: %w", err)
+	}
+	if err := (seal.Ring{c.ID: key}).Check(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(e.out, "%q = %q\n", c.ID, hex.EncodeToString(key))
+	return err
+}
+
+type logCommand struct {
+	Part  string `arg:"" optional:"" help:"Part of the program, or all."`
+	Level string `arg:"" optional:"" help:"trace, debug, info, warn, error or off."`
+}
+
+// Run shows the levels, and changes one before that if it is named.
+func (l logCommand) Run(e *env) error {
+	method, path := "GET", "/log"
+	if (l.Part == "") != (l.Level == "") {
+		return errors.New("log: a part needs a level")
+	}
+	if l.Part != "" {
+		method, path = "PUT", "/log/"+l.Part
+	}
+	var levels map[string]string
+	if err := e.client.Call(method, path, []byte(l.Level), &levels); err != nil {
+		return err
+	}
+	return e.show(levels, func(w io.Writer) {
+		fmt.Fprintln(w, "PART\tLEVEL")
+		for _, part := range slices.Sorted(maps.Keys(levels)) {
+			fmt.Fprintf(w, "%s\t%s\n", part, levels[part])
+		}
+	})
 }
 
 type configShow struct {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,9 @@
 // commands is the whole command line.
 type commands struct {
 	Socket  string        `help:"Socket of the operators' API." env:"LINKPASS_SOCKET" default:"/run/linkpass/linkpass.sock"`
+	Address string        `help:"Address of the operators' API over TCP, in place of the socket; needs a key." env:"LINKPASS_ADDRESS"`
+	KeyFile string        `help:"File with the keys that sign calls over TCP." env:"LINKPASS_KEY_FILE"`
+	Key     string        `help:"Id of the key in that file; not needed if there is one." env:"LINKPASS_KEY"`
 	Output  string        `short:"o" enum:"table,json" default:"table" help:"table or json."`
 	Timeout time.Duration `help:"For one call, or for what --wait waits for." default:"5s"`
 
@@ -51,6 +54,7 @@
 	Slices   sliceCommands   `cmd:"" help:"Slices: show, split, move, merge, abandon, resume, watch."`
 	Store    storeCommands   `cmd:"" help:"The replicated store."`
 	Bodies   bodiesCommand   `cmd:"" help:"Where bodies kept for retries lie."`
+	Log      logCommand      `cmd:"" help:"The least levels of log lines by part of the program; change one."`
 	Demo     demoCommand     `cmd:"" help:"A fleet, discovery and a coordinator on this machine, to try."`
 	Complete completeCommand `cmd:"" name:"completion" help:"Print a completion script for bash."`
 	Version  versionCommand  `cmd:"" help:"The program's version."`
@@ -91,10 +95,33 @@
 		fmt.Fprintln(errOut, "linkpass:", err)
 		return Misused
 	}
-	e.client = &control.Client{Socket: c.Socket, Limit: c.Timeout}
+	if e.client, err = c.client(); err != nil {
+		return e.code(err)
+	}
 	return e.code(ctx.Run(e))
 }
 
+// client is who asks the coordinator that the command line names.
+func (c *commands) client() (*control.Client, error) {
+	client := &control.Client{Socket: c.Socket, Address: c.Address, Limit: c.Timeout}
+	if c.Address == "" {
+		return client, nil
+	}
+	ring, err := daemon.ReadKeys(c.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("--key-file: %w", err)
+	}
+	if len(ring) == 1 && c.Key == "" {
+		for c.Key = range ring {
+		}
+	}
+	client.KeyID, client.Key = c.Key, ring[c.Key]
+	if client.Key == nil {
+		return nil, fmt.Errorf("--key %q: no such key in %s, which has %d", c.Key, c.KeyFile, len(ring))
+	}
+	return client, nil
+}
+
 // oldFlags takes the one flag that the program had before it had commands.
 func oldFlags(args []string) []string {
 	out := make([]string, len(args))
@@ -163,6 +190,10 @@
 	if err == nil {
 		cfg.Search, err = daemon.LoadSearch(s.OpenSearch)
 	}
+	if err == nil {
+		cfg.Search.Log.Apply(os.Stderr)
+		err = cfg.Check()
+	}
 	if err != nil {
 		event.ConfigBad.Log(err)
 		os.Exit(1)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,15 +2,23 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
-	"linkpass/internal/event"
 	"net"
+	"net/textproto"
 	"os"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"linkpass/internal/control"
+	"linkpass/internal/control/seal"
+	"linkpass/internal/daemon"
+	"linkpass/internal/event"
+	"linkpass/internal/http1"
 	"linkpass/internal/lab"
 )
 
@@ -30,6 +38,9 @@
 		}
 		e.Defer(d.Close)
 		e.Setenv("LINKPASS_SOCKET", d.Socket)
+		e.Setenv("TCP", d.Operator)
+		e.Setenv("KEYS", d.KeyFile)
+		e.Setenv("FILE", d.File)
 		e.Setenv("DEAD_SOCKET", e.WorkDir+"/nobody.sock")
 		return deaf(e)
 	}})
@@ -59,16 +70,102 @@
 	return nil
 }
 
-// Slow callers that hold every place of the API's socket keep no operator out.
-func TestStatusBesideSlowCallers(t *testing.T) {
+// demo starts a coordinator on a stand-in fleet.
+func demo(t *testing.T, seed uint64) *lab.Demo {
 	event.SetOutput(io.Discard, false)
 	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
 	t.Setenv("TMPDIR", t.TempDir())
-	d, err := lab.StartDemo(2)
+	d, err := lab.StartDemo(seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
+	return d
+}
+
+// Operators who drain and activate at the same time, at the socket and over TCP, are all answered with what holds then; the
+// last word holds, whoever it is from.
+func TestOperatorsAtOnce(t *testing.T) {
+	d := demo(t, 3)
+	ring, err := daemon.ReadKeys(d.KeyFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := []*control.Client{{Socket: d.Socket, Limit: 5 * time.Second}, {Address: d.Operator, KeyID: "demo", Key: ring["demo"], Limit: 5 * time.Second}}
+	var wg sync.WaitGroup
+	for i, c := range clients {
+		wg.Go(func() {
+			for n := range 20 {
+				path, want := "/drain", "drained"
+				if (n+i)%2 == 0 {
+					path, want = "/activate", "serving"
+				}
+				var now map[string]string
+				if err := c.Call("PUT", path, nil, &now); err != nil || now["state"] != want {
+					t.Errorf("%s: %v %v", path, now, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, path := range []string{"/drain", "/activate"} {
+		if err := clients[1].Call("PUT", path, nil, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var s control.Status
+	if err := clients[0].Call("GET", "/status", nil, &s); err != nil || s.State != "serving" {
+		t.Errorf("%v %v", s.State, err)
+	}
+}
+
+// A clock that is off by a minute is told so, and a call that was heard on its way is of no use a second time.
+func TestClocksAndReplaysOverTCP(t *testing.T) {
+	d := demo(t, 4)
+	ring, err := daemon.ReadKeys(d.KeyFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &control.Client{Address: d.Operator, KeyID: "demo", Key: ring["demo"], Limit: 5 * time.Second}
+	for _, off := range []time.Duration{time.Minute, -time.Minute} {
+		c.Now = func() time.Time { return time.Now().Add(off) }
+		var no *control.Refused
+		if err := c.Call("PUT", "/drain", nil, nil); !errors.As(err, &no) || no.Status != 401 || !strings.Contains(no.Reason, "set the clocks") {
+			t.Errorf("off by %s: %v", off, err)
+		}
+	}
+	signed := seal.Sign("demo", ring["demo"], seal.Call{Method: "PUT", Target: "/v1/drain"}, time.Now(), "once")
+	for i, want := range []int{200, 401} {
+		nc, err := net.Dial("tcp", d.Operator)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		_ = http1.WriteRequest(nc, "PUT", "/v1/drain", "x", textproto.MIMEHeader{"Authorization": {signed}}, nil)
+		if res, err := http1.NewReader(nc, 0).Response(); err != nil || res.Status != want {
+			t.Errorf("call %d: %+v %v", i, res, err)
+		}
+	}
+}
+
+// A reader that has read enough ends a command quietly.
+func TestAPipeThatCloses(t *testing.T) {
+	d := demo(t, 5)
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	defer w.Close()
+	var errOut bytes.Buffer
+	if code := Main([]string{"--socket", d.Socket, "-o", "json", "status"}, w, &errOut); code != Done || errOut.Len() > 0 {
+		t.Errorf("exit code %d, %s", code, errOut.String())
+	}
+}
+
+// Slow callers that hold every place of the API's socket keep no operator out.
+func TestStatusBesideSlowCallers(t *testing.T) {
+	d := demo(t, 2)
 	for range 20 {
 		nc, err := net.Dial("unix", d.Socket)
 		if err != nil {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -1,15 +1,18 @@
 package control
 
 import (
+	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"net/textproto"
 	"time"
 
 	"lukechampine.com/blake3"
 
+	"linkpass/internal/control/seal"
 	"linkpass/internal/http1"
 )
 
@@ -18,10 +21,39 @@
 	return hex.EncodeToString(h[:])
 }
 
-// Client asks a coordinator's API.
+// Client asks a coordinator's API, at its socket or, with signed calls, over TCP.
 type Client struct {
-	Socket string
-	Limit  time.Duration // of one call
+	Socket  string
+	Address string // for TCP; "": the socket
+	KeyID   string
+	Key     []byte
+	Limit   time.Duration    // of one call
+	Now     func() time.Time // nil: time.Now
+}
+
+// where names what the client calls.
+func (c *Client) where() (network, addr string) {
+	if c.Address != "" {
+		return "tcp", c.Address
+	}
+	return "unix", c.Socket
+}
+
+// sign words the header of a call over TCP; it has none at the socket, whose file says who may call.
+func (c *Client) sign(method, target string, body []byte) (textproto.MIMEHeader, error) {
+	if c.Address == "" {
+		return nil, nil
+	}
+	var once [16]byte
+	if _, err := rand.Read(once[:]); err != nil {
+		return nil, fmt.Errorf("a number used once: %w", err)
+	}
+	now := time.Now
+	if c.Now != nil {
+		now = c.Now
+	}
+	return textproto.MIMEHeader{"Authorization": {seal.Sign(c.KeyID, c.Key, seal.Call{Method: method, Target: target, Body: body},
+		now(), hex.EncodeToString(once[:]))}}, nil
 }
 
 // ErrNobody says that no coordinator answers at the socket.
@@ -68,20 +100,25 @@
 }
 
 func (c *Client) once(method, path string, body []byte) ([]byte, error) {
-	nc, err := net.DialTimeout("unix", c.Socket, c.Limit)
+	header, err := c.sign(method, Version+path, body)
+	if err != nil {
+		return nil, err
+	}
+	network, addr := c.where()
+	nc, err := net.DialTimeout(network, addr, c.Limit)
 	if err != nil {
-		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, c.Socket, err)
+		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, addr, err)
 	}
 	defer nc.Close()
 	if err := nc.SetDeadline(time.Now().Add(c.Limit)); err != nil {
-		return nil, fmt.Errorf("%s: %w", c.Socket, err)
+		return nil, fmt.Errorf("%s: %w", addr, err)
 	}
-	if err := http1.WriteRequest(nc, method, Version+path, "linkpass", nil, body); err != nil {
-		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, c.Socket, err)
+	if err := http1.WriteRequest(nc, method, Version+path, "linkpass", header, body); err != nil {
+		return nil, fmt.Errorf("%w at %s: %w", ErrNobody, addr, err)
 	}
 	res, err := http1.NewReader(nc, maxAnswer).Response()
 	if err != nil {
-		return nil, fmt.Errorf("%w at %s within %s: %w", ErrNobody, c.Socket, c.Limit, err)
+		return nil, fmt.Errorf("%w at %s within %s: %w", ErrNobody, addr, c.Limit, err)
 	}
 	if res.Status/100 != 2 {
 		crowded := res.Status == 503 && len(res.Body) == 0 // the API's own answers say why
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/store"
 )
@@ -36,7 +37,8 @@
 	Bodies     *BodyStatus   `json:"bodies,omitempty"`
 	Layouts    []Layout      `json:"layouts,omitempty"`
 	Store      *StoreStatus  `json:"store,omitempty"`
-	Fronts     []string      `json:"fronts"` // addresses
+	Fronts     []string      `json:"fronts"`                    // addresses
+	Operator   string        `json:"operator_listen,omitempty"` // address of this API over TCP
 	ResidentKB int64         `json:"resident_kb,omitempty"`
 }
 
@@ -102,6 +104,13 @@
 	Source string `json:"source"`
 }
 
+// Reloaded is what a reload came to: keys of the operators' file that differ from what runs.
+type Reloaded struct {
+	Held       []string `json:"held,omitempty"`       // they hold now
+	Waiting    []string `json:"waiting,omitempty"`    // they wait for a start
+	Replicated []string `json:"replicated,omitempty"` // the store says what holds: they are only its first document
+}
+
 // Backup is a document of the store as it is kept outside of it.
 type Backup struct {
 	Format   int             `json:"format"`
@@ -118,6 +127,7 @@
 	Drain() string
 	Activate() string
 	Settings() []Setting
+	Reload() (Reloaded, error)
 	Store() *store.Store   // nil: there is none
 	Search() http1.Handler // nil: there is none
 }
@@ -156,9 +166,24 @@
 		return reply(map[string]string{"state": h.Activate()})
 	case "GET config":
 		return reply(h.Settings())
+	case "PUT config/reload":
+		told, err := h.Reload()
+		if err != nil {
+			return fail(409, err)
+		}
+		return reply(told)
+	case "GET log":
+		return reply(event.Levels())
 	case "GET store/document", "GET store/backup", "PUT store/document":
 		return h.document(path, req)
 	}
+	if part, ok := strings.CutPrefix(path, "log/"); ok && req.Method == "PUT" {
+		if err := event.SetLevel(part, string(req.Body)); err != nil {
+			return fail(400, err)
+		}
+		event.LogLevel.Log(part, string(req.Body))
+		return reply(event.Levels())
+	}
 	return fail(404, fmt.Errorf("no such call: %s %.80q", req.Method, req.Path))
 }
 
--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -34,26 +34,23 @@
 }
 
 const (
-	memoryPart     = 8        // of the limit on memory one part in so many is for bodies
-	memoryMost     = 2        // and it may not be made more than one in so many: the rest is the program's
-	largestDefault = 1 << 10  // KiB
-	maxBodyDefault = 64       // KiB
-	unlimited      = 64 << 20 // bytes: what is taken for the limit where there is none
-	noRoomRetry    = 500 * time.Millisecond
+	memoryPart  = 8        // of the limit on memory one part in so many is for bodies
+	memoryMost  = 2        // and it may not be made more than one in so many: the rest is the program's
+	unlimited   = 64 << 20 // bytes: what is taken for the limit where there is none
+	noRoomRetry = 500 * time.Millisecond
 )
 
 // check looks at the section alone.
 func (b Bodies) check() error {
-	if b.MemoryKiB < 0 || b.LargestKiB < 0 || b.FilesKiB < 0 || b.MaxKiB < 0 {
-		return errors.New("bodies: a size is below 0")
-	}
 	if (b.FilesKiB > 0) != (b.Dir != "") {
 		return errors.New("bodies: files_kib and dir go together")
 	}
-	for name, c := range b.Classes {
-		if c.FloorKiB < 0 || c.Share < 0 || c.Share > 1 {
-			return fmt.Errorf("bodies.classes.%s: floor_kib is below 0, or share is not from 0 to 1", name)
-		}
+	floors := int64(0)
+	for _, c := range b.Classes {
+		floors += c.FloorKiB
+	}
+	if b.MemoryKiB > 0 && floors > b.MemoryKiB {
+		return fmt.Errorf("bodies.classes: the floors add up to %d KiB, memory_kib is %d", floors, b.MemoryKiB)
 	}
 	return nil
 }
@@ -61,12 +58,12 @@
 // limits are the budgets of a process that has a limit on memory and serves classes.
 func (b Bodies) limits(memoryMB int, classes []string) (tier.Limits, error) {
 	limit := int64(memoryMB) << 20
-	l := tier.Limits{Memory: b.MemoryKiB << 10, Files: b.FilesKiB << 10, Largest: b.LargestKiB << 10, Classes: make([]tier.Class, len(classes))}
+	l := tier.Limits{Memory: b.MemoryKiB << 10, Files: b.FilesKiB << 10, Largest: Keys.Int("bodies.largest_kib", b.LargestKiB) << 10, Classes: make([]tier.Class, len(classes))}
 	if l.Memory == 0 {
 		l.Memory = cmp.Or(limit, unlimited) / memoryPart
 	}
-	if l.Largest == 0 {
-		l.Largest = min(largestDefault<<10, l.Memory)
+	if b.LargestKiB == 0 {
+		l.Largest = min(l.Largest, l.Memory)
 	}
 	if limit > 0 && l.Memory > limit/memoryMost {
 		return l, fmt.Errorf("bodies.memory_kib: %d KiB is more than half of the limit of %d MB", l.Memory>>10, memoryMB)
@@ -104,6 +101,13 @@
 	return nil
 }
 
+// limitBodies keeps the store of bodies to this process's share. The lock is held.
+func (p *Program) limitBodies() {
+	if n := int64(max(1, p.share.Processes)); p.bodies != nil {
+		p.bodies.Limit(p.bodyLimits.Memory/n, p.bodyLimits.Files/n)
+	}
+}
+
 func (p *Program) closeBodies() error {
 	p.printBodies()
 	if p.bodies != nil {
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -4,17 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io/fs"
 	"os"
 	"strconv"
-	"strings"
-	"time"
-
-	"github.com/BurntSushi/toml"
 
 	"linkpass"
 	"linkpass/internal/catalog"
 	"linkpass/internal/discovery"
+	"linkpass/internal/schema"
 	"linkpass/internal/settings"
 	"linkpass/internal/store"
 )
@@ -32,7 +28,8 @@
 	host                    settings.Host
 	Search                  Search
 
-	fileDiscovery string // what the file names, whatever goes before it
+	fileDiscovery string              // what the file names, whatever goes before it
+	env           func(string) string // that named the file; nil: os.Getenv
 }
 
 // Search is the file of the search front.
@@ -44,68 +41,10 @@
 	Bodies  Bodies       `toml:"bodies"`
 
 	Operator Operator `toml:"operator"`
-}
-
-const DefaultSearchFile = "deploy/opensearch.toml"
-
-// LoadSearch reads the operators' file and tells all that is wrong with it at once, each with its
-// line and key. Without the default file the search front is off.
-func LoadSearch(path string) (Search, error) {
-	var c Search
-	text, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) && path == DefaultSearchFile {
-		return Search{}, nil
-	}
-	if err != nil {
-		return c, fmt.Errorf("search front: %w", err)
-	}
-	meta, err := toml.Decode(string(text), &c)
-	var syntax toml.ParseError
-	if errors.As(err, &syntax) {
-		return c, fmt.Errorf("search front %s:%d: %s", path, syntax.Position.Line, syntax.Message)
-	}
-	if err != nil {
-		return c, fmt.Errorf("search front %s: %w", path, err)
-	}
-	var faults []error
-	for _, key := range meta.Undecoded() {
-		faults = append(faults, fmt.Errorf("search front %s:%d: unknown key %s", path, lineOf(string(text), key), key))
-	}
-	note := func(section string, err error) {
-		if err != nil {
-			faults = append(faults, fmt.Errorf("search front %s:%d: %w", path, lineOf(string(text), toml.Key{section}), err))
-		}
-	}
-	note("indices", c.Check())
-	note("bodies", c.Bodies.check())
-	_, _, err = c.Reshape.pace(time.Second)
-	note("reshape", err)
-	if c.Listen == "" && c.Store.ID != "" {
-		note("store", errors.New("a store needs the front's listen address"))
-	}
-	return c, errors.Join(faults...)
-}
+	Log      Log      `toml:"log"`
 
-// lineOf finds the line on which a key stands, or else its section; 1 where neither does.
-func lineOf(text string, key toml.Key) int {
-	section := ""
-	best := 1
-	for i, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			section = strings.Trim(strings.TrimLeft(line, "["), "] ")
-			if section == key[0] || strings.HasPrefix(section, key[0]+".") {
-				if best = max(best, i+1); len(key) == 1 {
-					return best
-				}
-			}
-		}
-		name, _, ok := strings.Cut(line, "=")
-		if full := strings.TrimPrefix(section+"."+strings.TrimSpace(name), "."); ok && full == key.String() {
-			return i + 1
-		}
-	}
-	return best
+	path   string         // of the file
+	values []schema.Value // as they stand in it
 }
 
 // document is the platform's configuration file.
@@ -146,7 +85,7 @@
 	}
 	c := Config{name: either("ROUTER_NAME", d.Name), listen: either("ROUTER_LISTEN", d.Listen),
 		discovery: either("ROUTER_DISCOVERY", d.Discovery), operator: either("ROUTER_OPERATOR", d.Operator), known: d.Known,
-		fileDiscovery: d.Discovery, memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
+		env: env, fileDiscovery: d.Discovery, memoryMB: d.Limits.MemoryMB, sockets: d.Limits.Sockets, cores: d.Limits.Cores}
 	if c.listen == "" || c.discovery == "" {
 		return Config{}, fmt.Errorf("configuration %s: listen or discovery is missing", path)
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -25,12 +25,16 @@
 // Operator says where the operators' API listens, as an operator's file says.
 type Operator struct {
 	Socket string `toml:"socket"` // of the API; "": there is none
+	Listen string `toml:"listen"` // of the API over TCP; "": not there
+	Keys   string `toml:"keys"`   // file of the keys that sign calls over TCP
+	Window string `toml:"window"`
 }
 
 const (
 	controlConns = 8
 	coreLimit    = 500 * time.Millisecond // for the core to tell what it believes
 	controlBody  = 16 << 20               // bytes: a backup
+	sealedBody   = 1 << 20                // over TCP: a body lies in memory before its signature is known to be good
 )
 
 // roster knows the listed servers by the module's numbers.
@@ -83,25 +87,59 @@
 
 var _ discovery.Core = listTee{}
 
-// controlPart is the operators' API.
+// controlPart is the operators' API, at its socket and over TCP.
 func (p *Program) controlPart() parts.Part {
-	var e *entrance
-	return parts.Part{Name: "control", Needs: []string{"core"}, Late: true, Open: func() (err error) {
-		if p.cfg.Search.Operator.Socket == "" {
-			return nil
+	var open []*entrance
+	giveBack := func() error {
+		for _, e := range open {
+			_ = e.close()
 		}
-		ln, err := listenSocket(p.cfg.Search.Operator.Socket)
+		return nil
+	}
+	return parts.Part{Name: "control", Needs: []string{"core"}, Late: true, Open: func() error {
+		err := p.openControl(func(ln net.Listener, h http1.Handler, maxBody int64) {
+			open = append(open, &entrance{&http1.Server{Name: "control", Handler: h, Clock: p.core, Counters: p.count,
+				MaxConns: controlConns, MaxBody: maxBody}, ln})
+		})
 		if err != nil {
-			return err
+			_ = giveBack()
 		}
-		e = &entrance{&http1.Server{Name: "control", Handler: control.Handler{Coordinator: p}, Clock: p.core, Counters: p.count,
-			MaxConns: controlConns, MaxBody: controlBody}, ln}
-		return nil
+		return err
 	}, Run: func(ctx context.Context) {
-		if e != nil {
-			e.run(ctx)
+		var all sync.WaitGroup
+		for _, e := range open {
+			all.Go(func() { e.run(ctx) })
+		}
+		all.Wait()
+	}, Close: giveBack}
+}
+
+// openControl takes what the API listens at.
+func (p *Program) openControl(add func(net.Listener, http1.Handler, int64)) error {
+	c := p.cfg.Search.Operator
+	handler := control.Handler{Coordinator: p}
+	if c.Socket != "" {
+		ln, err := listenSocket(c.Socket)
+		if err != nil {
+			return err
 		}
-	}, Close: func() error { return e.close() }}
+		add(ln, handler, controlBody)
+	}
+	if c.Listen == "" {
+		return nil
+	}
+	ring, err := ReadKeys(c.Keys)
+	if err != nil {
+		return err
+	}
+	p.keys.open(ring, Keys.Time("operator.window", c.Window))
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	p.controlAddr.Store(ln.Addr().String())
+	add(ln, &control.Sealed{Handler: handler, Check: p.keys.check, Counters: p.count}, sealedBody)
+	return nil
 }
 
 // listenSocket takes the socket of the operators' API. A file that a crash left is replaced; one
@@ -160,6 +198,7 @@
 		s.Classes = append(s.Classes, control.ClassStatus{Name: name, Served: p.figures.Served[i].Load(),
 			Refused: p.figures.Refused[i].Load(), Failed: p.figures.Failed[i].Load()})
 	}
+	s.Operator, _ = p.controlAddr.Load().(string)
 	for _, a := range p.Addrs() {
 		s.Fronts = append(s.Fronts, a.String())
 	}
--- a/internal/daemon/effective.go
+++ b/internal/daemon/effective.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -11,22 +12,35 @@
 
 // Check looks at what a start would look at, beyond each file by itself.
 func (c Config) Check() error {
+	var faults []error
 	if _, err := c.Search.Bodies.limits(c.memoryMB, c.host.Classes); err != nil {
-		return err
+		faults = append(faults, err)
 	}
-	addresses := map[string]string{}
-	for key, addr := range map[string]string{"listen": c.listen, "operator": c.operator, "search front's listen": c.Search.Listen} {
-		if other, twice := addresses[addr]; twice && addr != "" && !strings.HasSuffix(addr, ":0") {
-			return fmt.Errorf("%s and %s are the same address %s", min(key, other), max(key, other), addr)
+	seen := map[string]string{}
+	for key, addr := range map[string]string{"listen of the platform": c.listen, "operator of the platform": c.operator} {
+		if other, twice := seen[addr]; twice && addr != "" && !strings.HasSuffix(addr, ":0") {
+			faults = append(faults, fmt.Errorf("%s is the address of %s too: %s", max(key, other), min(key, other), addr))
 		}
-		addresses[addr] = key
+		seen[addr] = key
 	}
-	return nil
+	c.Search.addresses(func(key, addr string) {
+		if other, twice := seen[addr]; twice {
+			faults = append(faults, fmt.Errorf("%s is the address of the %s too: %s", key, other, addr))
+		}
+	})
+	if c.Search.Operator.Listen != "" && c.Search.Operator.Keys != "" {
+		if _, err := ReadKeys(c.Search.Operator.Keys); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	return errors.Join(faults...)
 }
 
 // Settings are the keys as they hold, and where each came from.
 func (p *Program) Settings() (out []control.Setting) {
-	c := p.cfg
+	p.mu.Lock()
+	c, processes := p.cfg, p.share.Processes
+	p.mu.Unlock()
 	add := func(key string, value any, source string) {
 		out = append(out, control.Setting{Key: key, Value: fmt.Sprint(value), Source: source})
 	}
@@ -35,15 +49,13 @@
 	add("platform.discovery", c.discovery, "platform")
 	add("platform.limits.memory_mb", c.memoryMB, "platform")
 	add("platform.limits.sockets", c.sockets, "platform")
-	p.mu.Lock()
-	add("processes", p.share.Processes, "handover")
-	p.mu.Unlock()
+	add("processes", processes, "handover")
 	walk("", reflect.ValueOf(c.Search), func(key string, v reflect.Value) {
-		source := "file"
 		if v.IsZero() {
-			source = "default"
+			add(key, Keys.Must(key).Default, "default")
+		} else {
+			add(key, v.Interface(), "file")
 		}
-		add(key, v.Interface(), source)
 	})
 	slices.SortFunc(out, func(a, b control.Setting) int { return strings.Compare(a.Key, b.Key) })
 	return out
@@ -63,8 +75,8 @@
 			f(strings.TrimPrefix(key+"."+name, "."), reflect.Zero(inner.Type().Elem()))
 		case inner.Kind() == reflect.Pointer:
 			f(strings.TrimPrefix(key+"."+name, "."), inner.Elem())
-		case inner.Kind() == reflect.Map || inner.Kind() == reflect.Func || inner.Kind() == reflect.Interface:
-			// Indices, servers and classes are the store's to show: store get.
+		case inner.Kind() == reflect.Map || inner.Kind() == reflect.Func || inner.Kind() == reflect.Interface || inner.Kind() == reflect.Slice:
+			// Indices, servers and classes are the store's to show: store get. So are members: store members.
 		default:
 			f(strings.TrimPrefix(key+"."+name, "."), inner)
 		}
--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -159,9 +158,9 @@
 	if p.cfg.Search.Listen == "" {
 		return nil, nil
 	}
-	initial := &p.cfg.Search.Catalog
+	initial := p.fixed.Load()
 	p.layouts.take(initial)
-	answers := opensearch.FixedSettings(initial)
+	answers := opensearch.FixedSettings(p.fixed.Load)
 	if p.cfg.Search.Store.ID != "" {
 		c := p.cfg.Search.Store
 		c.Initial, c.Changed = initial, p.layouts.take
@@ -191,7 +190,7 @@
 			Worth: p.cfg.module.Classes[i].Worth})
 	}
 	e := p.add("search", ln, front)
-	e.server.MaxBody = cmp.Or(p.cfg.Search.Bodies.MaxKiB, maxBodyDefault) << 10
+	e.server.MaxBody = Keys.Int("bodies.max_body_kib", p.cfg.Search.Bodies.MaxKiB) << 10
 	if p.bodies != nil {
 		e.server.Spools = p.spools
 	}
--- /dev/null
+++ b/internal/daemon/keyring.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"encoding/hex"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"linkpass/internal/control/seal"
+)
+
+// keyring checks the signed calls of the operators' API.
+type keyring struct {
+	mu       sync.Mutex
+	verifier *seal.Verifier // nil: nothing is let in
+}
+
+func (k *keyring) set(ring seal.Ring) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.verifier != nil {
+		k.verifier.Keys(ring)
+	}
+}
+
+func (k *keyring) open(ring seal.Ring, window time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.verifier = seal.NewVerifier(ring, window, time.Now())
+}
+
+// check lets a call in, or tells why not.
+func (k *keyring) check(header string, c seal.Call) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.verifier == nil {
+		return seal.ErrForged
+	}
+	_, err := k.verifier.Check(time.Now(), header, c)
+	return err
+}
+
+const maxKeyFile = 64 << 10 // bytes
+
+// ReadKeys reads a file of keys: TOML, an id and a key in hexadecimal on each line. One that others may read is not taken.
+func ReadKeys(path string) (seal.Ring, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("keys %s can be read by others (%s): chmod 600", path, info.Mode().Perm())
+	}
+	if info.Size() > maxKeyFile {
+		return nil, fmt.Errorf("keys %s has %d bytes, more than %d", path, info.Size(), maxKeyFile)
+	}
+	var texts map[string]string
+	if _, err := toml.DecodeFile(path, &texts); err != nil {
+		return nil, fmt.Errorf("keys %s: %w", path, err)
+	}
+	ring := seal.Ring{}
+	for id, text := range texts {
+		if ring[id], err = hex.DecodeString(text); err != nil {
+			return nil, fmt.Errorf("keys %s: key %.80q is not in hexadecimal", path, id)
+		}
+	}
+	if err := ring.Check(); err != nil {
+		return nil, fmt.Errorf("keys %s: %w", path, err)
+	}
+	return ring, nil
+}
--- a/internal/daemon/reshape.go
+++ b/internal/daemon/reshape.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -25,31 +23,23 @@
 	Replan      *bool  `toml:"replan"`       // whether a part whose slice has moved is planned anew; true
 }
 
-// pace reads the settings, with defaults for those that are missing.
-func (r Reshape) pace(longest time.Duration) (limits reshape.Limits, poll time.Duration, err error) {
-	read := func(key, text string, otherwise time.Duration) time.Duration {
-		if text == "" {
-			return otherwise
-		}
-		d, bad := time.ParseDuration(text)
-		if bad != nil || d <= 0 {
-			err = errors.Join(err, fmt.Errorf("reshape.%s %q is no time above 0", key, text))
-		}
-		return d
-	}
-	poll = read("poll", r.Poll, time.Second)
-	limits = reshape.Limits{Moves: r.Moves, PerServer: r.PerServer, Fresh: 3 * poll,
-		Linger: read("retire_after", r.RetireAfter, longest+time.Second), Patience: read("patience", r.Patience, 10*time.Minute)}
-	if limits.Moves == 0 {
-		limits.Moves = 4
+// pace reads the settings, with their defaults; longest is the longest deadline of a query.
+func (r Reshape) pace(longest time.Duration) (limits reshape.Limits, poll time.Duration) {
+	poll = Keys.Time("reshape.poll", r.Poll)
+	limits = reshape.Limits{Moves: int(Keys.Int("reshape.moves", int64(r.Moves))), PerServer: int(Keys.Int("reshape.per_server", int64(r.PerServer))),
+		Fresh: 3 * poll, Linger: Keys.Time("reshape.retire_after", r.RetireAfter), Patience: Keys.Time("reshape.patience", r.Patience)}
+	if limits.Linger == 0 {
+		limits.Linger = longest + time.Second
 	}
-	if limits.PerServer == 0 {
-		limits.PerServer = 1
-	}
-	if limits.Moves < 0 || limits.PerServer < 0 {
-		err = errors.Join(err, errors.New("reshape.moves and reshape.per_server must be above 0"))
+	return limits, poll
+}
+
+// longest is the longest deadline of a query.
+func (p *Program) longest() (d time.Duration) {
+	for _, class := range p.cfg.module.Classes {
+		d = max(d, class.Deadline)
 	}
-	return limits, poll, err
+	return d
 }
 
 // layouts hands what changes in the layouts to the core, one document after another.
@@ -88,14 +78,7 @@
 	if p.cfg.Search.Listen == "" || p.cfg.Search.Store.ID == "" {
 		return nil
 	}
-	longest := time.Duration(0)
-	for _, class := range p.cfg.module.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	limits, poll, err := p.cfg.Search.Reshape.pace(longest)
-	if err != nil {
-		return err
-	}
+	limits, poll := p.cfg.Search.Reshape.pace(p.longest())
 	p.steward = steward.New(steward.Config{Store: stored{p}, Limits: limits, Poll: poll, Timeout: max(poll, time.Second),
 		Now: p.core.Now, Counters: p.count, Ended: func() (ended, refused int64) {
 			for i := range p.figures.Classes {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -73,6 +73,11 @@
 	dials      *peer.Places   // connections that all league servers may take
 	current    atomic.Pointer[func() *catalog.Catalog]
 
+	fixed       atomic.Pointer[catalog.Catalog] // the file's, where there is no store
+	keys        keyring
+	controlAddr atomic.Value // string: of the API over TCP
+	reloading   sync.Mutex   // one at a time
+
 	post  *handover.Post
 	alone chan struct{} // told when no other process of this coordinator runs any more
 
@@ -81,29 +86,6 @@
 	clients int // connections that each front may hold
 }
 
-// reload takes a new configuration while the program runs: the address of
-// discovery and the limit on memory. All else holds from the next start on. One
-// that can't be used changes nothing: a coordinator must not end over it.
-func (p *Program) reload(env func(string) string) {
-	cfg, err := Load(env)
-	if err != nil {
-		p.count.Add("config_bad", 1)
-		event.ConfigKept.Log(err)
-		return
-	}
-	p.count.Add("config_reloaded", 1)
-	event.ConfigReloaded.Log(cfg.fileDiscovery)
-	p.mu.Lock()
-	p.cfg.memoryMB = cfg.memoryMB
-	p.limitMemory()
-	p.mu.Unlock()
-	// The environment stays as it was at the start, so only the file can bring news.
-	if cfg.fileDiscovery != "" && cfg.fileDiscovery != p.cfg.fileDiscovery {
-		p.watcher.Move(cfg.fileDiscovery)
-	}
-	p.cfg.fileDiscovery = cfg.fileDiscovery
-}
-
 // limitMemory sets the collector's limit to this process's share.
 func (p *Program) limitMemory() {
 	if p.cfg.memoryMB > 0 {
@@ -129,9 +111,7 @@
 	if p.core != nil {
 		p.core.Room(s.Open)
 	}
-	if p.bodies != nil {
-		p.bodies.Limit(p.bodyLimits.Memory/int64(s.Processes), p.bodyLimits.Files/int64(s.Processes))
-	}
+	p.limitBodies()
 	if s.Processes == 1 {
 		select {
 		case p.alone <- struct{}{}:
@@ -226,7 +206,7 @@
 			p.mu.Unlock()
 		case sig := <-news:
 			if sig == syscall.SIGHUP {
-				p.reload(os.Getenv)
+				_, _ = p.Reload() // the log tells
 			} else {
 				p.count.Print("signal")
 				p.printBodies()
@@ -248,7 +228,8 @@
 	}
 	p := &Program{cfg: cfg, began: time.Now(), count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
 		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1), welcome: make(chan struct{}), leaving: make(chan struct{})}
-	p.settle(func() *catalog.Catalog { return &cfg.Search.Catalog })
+	p.fixed.Store(&cfg.Search.Catalog)
+	p.settle(p.fixed.Load)
 	p.join()
 	var err error
 	if p.parts, err = parts.New(p.list()...); err == nil {
@@ -367,11 +348,7 @@
 // patience is how long after SIGTERM the process may take: the platform kills once the
 // longest deadline, or 3 s where that is longer, and 0.7 s have passed.
 func (p *Program) patience() time.Duration {
-	longest := time.Duration(0)
-	for _, class := range p.cfg.module.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	return min(longest, killAfter) + killMargin
+	return min(p.longest(), killAfter) + killMargin
 }
 
 // ListenForNews takes the signals that end nothing: SIGUSR1 asks for the counters,
--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -743,9 +743,37 @@
 	if l, err := (Bodies{}).limits(32, classes); err != nil || l.Memory != 4<<20 || l.Files != 0 {
 		t.Errorf("the default in 32 MB: %+v %v", l, err)
 	}
-	for _, bad := range []Bodies{{MemoryKiB: -1}, {FilesKiB: 5}, {Dir: "x"}, {Classes: map[string]ClassPart{"a": {Share: 2}}}} {
+	for _, bad := range []Bodies{{FilesKiB: 5}, {Dir: "x"}, {MemoryKiB: 5, Classes: map[string]ClassPart{"a": {FloorKiB: 6}}}} {
 		if bad.check() == nil {
 			t.Errorf("took %+v", bad)
 		}
 	}
 }
+
+// A socket's file that a crash left is replaced; one that somebody listens on is not, and nor is what is no socket.
+func TestASocketLeftByACrash(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "deep", "linkpass.sock")
+	first, err := listenSocket(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("%v %v", info, err)
+	}
+	if _, err := listenSocket(path); err == nil || !strings.Contains(err.Error(), "another process listens") {
+		t.Errorf("beside one that listens: %v", err)
+	}
+	first.(*net.UnixListener).SetUnlinkOnClose(false) // as a crash would
+	first.Close()
+	second, err := listenSocket(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Close()
+	if err := os.MkdirAll(filepath.Join(path, "full"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := listenSocket(path); err == nil {
+		t.Error("a directory was taken for a socket")
+	}
+}
--- a/internal/event/registry.go
+++ b/internal/event/registry.go
@@ -19,6 +19,13 @@
 	ConfigBad = register("daemon", "config_bad", "err", hclog.Error,
 		"the configuration can't be used; exit code 1",
 		"the line names the file and the key: correct it, start again")
+	LogLevel = register("daemon", "log_level", "of level", hclog.Info,
+		"an operator set the least level of a part's lines; it holds until the next start or reload", "nothing")
+	KeysTaken = register("control", "keys_taken", "keys", hclog.Info,
+		"so many keys sign calls of the operators' API from now on", "nothing")
+	CallRefused = register("control", "call_refused", "why", hclog.Warn,
+		"a call of the operators' API over TCP that was not signed as it must be, or is a replay; answered 401 or 429",
+		"`the call's time is off`: set the clocks; else find the caller")
 	Failed = register("daemon", "failed", "err", hclog.Error,
 		"the program could not start, or ended with an error; exit code 1",
 		"most often an address in use or a store's directory that can't be written")
@@ -35,10 +42,10 @@
 		"a version of a layout took hold; so many slices are held since, so many no more",
 		"nothing; see [slices.md](slices.md)")
 	ConfigKept = register("daemon", "config_kept", "err", hclog.Warn,
-		"SIGHUP came, but the new configuration can't be used; all stays as it was",
-		"correct the file that the line names, send SIGHUP again")
-	ConfigReloaded = register("daemon", "config_reloaded", "discovery", hclog.Info,
-		"SIGHUP came; the file's address of discovery and limit on memory hold now, all else from the next start on",
+		"a reload came, but one of the files can't be used; all stays as it was",
+		"correct the file that the line names, reload again")
+	ConfigReloaded = register("daemon", "config_reloaded", "discovery held waiting", hclog.Info,
+		"a reload (SIGHUP or `linkpass config reload`): the platform's address of discovery and limit on memory hold now, and so do the keys of the operators' file in `held`; those in `waiting` wait for a start",
 		"nothing; `event=discovery_moved` follows if the address is another one")
 	Share = register("handover", "share", "processes open", hclog.Info,
 		"so many processes of this coordinator run and share the limits; this one may hold `open` queries and parts",
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -51,6 +51,7 @@
 	reshape  string // lines of [reshape] in the coordinators' file
 	bodies   string // lines of [bodies]
 	operator string // lines of [operator]
+	keys     string // file of the operators' keys
 	each     int    // servers of a set
 	maxOpen  int
 	memoryMB int
@@ -173,9 +174,12 @@
 	for k := range raft {
 		fmt.Fprintf(&t, "[[store.members]]\nid = \"n%d\"\nraft = %q\nhttp = %q\n", k, raft[k], web[k])
 	}
-	files := map[string][]byte{"config.json": []byte(config), "search.toml": t.Bytes()}
+	files := map[string][]byte{fmt.Sprintf("n%d-config.json", i): []byte(config), fmt.Sprintf("n%d-search.toml", i): t.Bytes()}
+	if w.keys != "" {
+		files["keys.toml"] = []byte(w.keys)
+	}
 	for file, data := range files {
-		if err := os.WriteFile(filepath.Join(w.dir, fmt.Sprintf("n%d-%s", i, file)), data, 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(w.dir, file), data, 0o600); err != nil {
 			return nil, fmt.Errorf("lab: %w", err)
 		}
 	}
--- a/internal/layout/steward/steward.go
+++ b/internal/layout/steward/steward.go
@@ -76,6 +76,7 @@
 
 	mu      sync.Mutex
 	members map[string]coordinator.Member
+	paced   bool // the pace has changed and Run has not seen it
 
 	// Owned by Run.
 	controller *reshape.Controller
@@ -115,9 +116,25 @@
 	}
 }
 
+// Pace changes the limits and the time between two rounds while it works; it holds from the next round on.
+func (s *Steward) Pace(limits reshape.Limits, poll time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Limits, s.cfg.Poll, s.paced = limits, poll, true
+}
+
+// pace tells the limits and the time between two rounds, and whether they are news.
+func (s *Steward) pace() (limits reshape.Limits, poll time.Duration, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news, s.paced = s.paced, false
+	return s.cfg.Limits, s.cfg.Poll, news
+}
+
 // Run works until the context ends.
 func (s *Steward) Run(ctx context.Context) {
-	tick := time.NewTicker(s.cfg.Poll)
+	limits, poll, _ := s.pace()
+	tick := time.NewTicker(poll)
 	defer tick.Stop()
 	for {
 		select {
@@ -126,13 +143,17 @@
 			return
 		case <-tick.C:
 		}
+		if l, poll, news := s.pace(); news {
+			tick.Reset(poll)
+			limits, s.controller = l, nil // a new one reads the plans from the layouts, as after a change of leader
+		}
 		if !s.cfg.Store.Leads() {
 			s.rest()
 			continue
 		}
 		if s.controller == nil {
 			event.ReshapeLeads.Log()
-			s.controller = reshape.New(s.cfg.Limits)
+			s.controller = reshape.New(limits)
 			s.reports, s.failed = map[string]map[string]reshape.Report{}, map[string]time.Duration{}
 		}
 		s.round(ctx)
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -280,13 +280,13 @@
 	return out
 }
 
-// FixedSettings answers for settings that come from the file and stay as they are.
-func FixedSettings(c *catalog.Catalog) http1.Handler {
+// FixedSettings answers for settings that come from the file alone.
+func FixedSettings(current func() *catalog.Catalog) http1.Handler {
 	return http1.HandlerFunc(func(_ context.Context, _ time.Duration, req *http1.Request) *http1.Response {
 		if req.Method != "GET" {
 			return errorResponse(badRequest("illegal_argument_exception", "the store is off: settings come from the file and stay as they are"))
 		}
-		return settingsResponse(c, false)
+		return settingsResponse(current(), false)
 	})
 }
 
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -46,7 +46,7 @@
 func front(c *core) *Front {
 	return &Front{Core: c, Shards: 6, Prefix: "n0", Counters: counters.New(), Catalog: settings,
 		Classes:  []Class{{"league-table", 5 * time.Second, 3}, {"team-lookup", 2500 * time.Millisecond, 1}},
-		Settings: FixedSettings(settings())}
+		Settings: FixedSettings(settings)}
 }
 
 func ask(f *Front, method, target, body string) (*http1.Response, map[string]any) {
--- /dev/null
+++ b/internal/schema/schema_test.go
@@ -0,0 +1,99 @@
+package schema
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "linkpass/internal/seeded"
+)
+
+var table = Table{
+	{Name: "listen", Type: Address}, {Name: "on", Type: Bool, Default: "true", Live: true},
+	{Name: "pace.wait", Type: Duration, Default: "1s", Min: "10ms", Max: "1m", Live: true},
+	{Name: "pace.moves", Type: Int, Default: "4", Min: "1", Max: "9"},
+	{Name: "share.*.part", Type: Float, Min: "0", Max: "1"}, {Name: "share.*.kind", Type: String, OneOf: []string{"a", "b"}},
+	{Name: "who.*.id", Type: String}, {Name: "sets", Type: Sets}, {Name: "names", Type: Strings}, {Name: "rest", Type: Opaque},
+}
+
+// Lines of a file, each as it may stand and whether it is right; sections in their order.
+type line struct {
+	section, text, key string
+	sound              bool
+}
+
+var lines = []line{
+	{"", `listen = "127.0.0.1:9"`, "listen", true}, {"", `listen = "here"`, "listen", false}, {"", `listen = ":0"`, "listen", false},
+	{"", `on = false`, "on", true}, {"", `on = "yes"`, "on", false}, {"", `sets = [["a"], []]`, "sets", true}, {"", `sets = [["a", 1]]`, "sets", false},
+	{"", `names = ["a"]`, "names", true}, {"", `names = [["a"]]`, "names", false}, {"", `names = "a"`, "names", false},
+	{"pace", `wait = "10ms"`, "pace.wait", true}, {"pace", `wait = "9ms"`, "pace.wait", false}, {"pace", `wait = "1m1ns"`, "pace.wait", false},
+	{"pace", `wait = 5`, "pace.wait", false}, {"pace", `moves = 9`, "pace.moves", true}, {"pace", `moves = 0`, "pace.moves", false},
+	{"pace", `moves = 1.5`, "pace.moves", false}, {"pace", `speed = 1`, "pace.speed", false},
+	{"share.x", `part = 1`, "share.x.part", true}, {"share.x", `part = 1.01`, "share.x.part", false}, {"share.x", `kind = "b"`, "share.x.kind", true},
+	{"share.x", `kind = "c"`, "share.x.kind", false}, {"share.x.y", `part = 1`, "share.x.y.part", false},
+	{"[who]", `id = "n"`, "who.0.id", true}, {"[who]", `id = 1`, "who.0.id", false},
+	{"rest", `what = { ever = 1 }`, "rest", true},
+}
+
+// Whatever is wrong is told, all of it at once, each at its line; and nothing else is.
+func TestEveryFaultAtItsLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		want := map[string]bool{}
+		section, at := "", 0
+		seen := map[string]bool{}
+		for _, l := range lines { // in order of their sections
+			if seen[l.key] || !rapid.Bool().Draw(t, l.text) {
+				continue
+			}
+			seen[l.key] = true
+			if l.section != section {
+				section = l.section
+				fmt.Fprintf(&text, "# more\n[%s]\n", section)
+				at += 2
+			}
+			fmt.Fprintln(&text, l.text)
+			if at++; !l.sound {
+				want[fmt.Sprintf("f.toml:%d: ", at)+l.key] = true
+			}
+		}
+		_, faults := table.Read("f.toml", text.String())
+		if len(faults) != len(want) {
+			t.Fatalf("%v, want %v in\n%s", faults, want, &text)
+		}
+		for _, f := range faults {
+			place, _, _ := strings.Cut(strings.Replace(f.Error(), "unknown key ", "", 1), " is ")
+			if name, _, _ := strings.Cut(place[strings.LastIndex(place, ": ")+2:], " "); !want[place[:strings.LastIndex(place, ": ")+2]+name] {
+				t.Fatalf("%v is none of %v in\n%s", f, want, &text)
+			}
+		}
+	})
+}
+
+// A text that is no TOML has one fault, with its line, and never a panic.
+func TestTextsThatAreNoTOML(t *testing.T) {
+	if _, faults := table.Read("f", "on = true\n[pace\nwait = 5"); len(faults) != 1 || faults[0].Line < 2 {
+		t.Error(faults)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOf(rapid.SampledFrom([]rune("[]{}=.,\"'#\\\n ab1"))).Draw(t, "text")
+		table.Read("f", text)
+	})
+}
+
+func TestDefaultsAndChanges(t *testing.T) {
+	if table.Time("pace.wait", "") != time.Second || table.Time("pace.wait", "2s") != 2*time.Second || table.Int("pace.moves", 0) != 4 || table.Int("pace.moves", 7) != 7 {
+		t.Error("a default does not hold, or holds where a value is set")
+	}
+	before, _ := table.Read("a", "on = true\nnames = [\"a\"]\n[pace]\nmoves = 2")
+	after, _ := table.Read("b", "names = [\"a\"]\n[pace]\nmoves = 3\nwait = \"2s\"")
+	if got := fmt.Sprint(table.Changes(before, after)); got != "[{on true} {pace.moves false} {pace.wait true}]" {
+		t.Error(got)
+	}
+	if md := table.Markdown(); !strings.Contains(md, "| `pace.wait` | time | `1s` | 10ms to 1m | reload |") {
+		t.Error(md)
+	}
+}
