--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -39,6 +39,7 @@
 	Store      *StoreStatus  `json:"store,omitempty"`
 	Fronts     []string      `json:"fronts"`                    // addresses
 	Operator   string        `json:"operator_listen,omitempty"` // address of this API over TCP
+	Page       string        `json:"page,omitempty"`            // address of the page for a browser
 	ResidentKB int64         `json:"resident_kb,omitempty"`
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,7 @@
 	Listen string `toml:"listen"` // of the API over TCP; "": not there
 	Keys   string `toml:"keys"`   // file of the keys that sign calls over TCP
 	Window string `toml:"window"`
+	Page   string `toml:"page"` // address of the page for a browser; "": not there
 }
 
 const (
@@ -194,10 +195,8 @@
 	if _, ok := p.core.Beliefs(coreLimit); !ok {
 		s.Core = "busy"
 	}
-	for i, name := range p.figures.Classes {
-		s.Classes = append(s.Classes, control.ClassStatus{Name: name, Served: p.figures.Served[i].Load(),
-			Refused: p.figures.Refused[i].Load(), Failed: p.figures.Failed[i].Load()})
-	}
+	s.Classes = p.classStatus()
+	s.Page, _ = p.pageAddr.Load().(string)
 	s.Operator, _ = p.controlAddr.Load().(string)
 	for _, a := range p.Addrs() {
 		s.Fronts = append(s.Fronts, a.String())
@@ -223,6 +222,15 @@
 	return s
 }
 
+// classStatus counts the final answers by class.
+func (p *Program) classStatus() (out []control.ClassStatus) {
+	for i, name := range p.figures.Classes {
+		out = append(out, control.ClassStatus{Name: name, Served: p.figures.Served[i].Load(),
+			Refused: p.figures.Refused[i].Load(), Failed: p.figures.Failed[i].Load()})
+	}
+	return out
+}
+
 // residentKB is the memory that the process has resident; 0 where the system does not say.
 func residentKB() int64 {
 	data, err := os.ReadFile("/proc/self/statm")
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -75,6 +75,7 @@
 
 	fixed       atomic.Pointer[catalog.Catalog] // the file's, where there is no store
 	keys        keyring
+	pageAddr    atomic.Value // string: of the page
 	controlAddr atomic.Value // string: of the API over TCP
 	reloading   sync.Mutex   // one at a time
 
@@ -197,9 +198,12 @@
 		case <-p.alone:
 			p.mu.Lock()
 			p.parts.OpenLate(func(name string, err error) {
-				if name == "control" {
+				switch name {
+				case "control":
 					event.ControlFailed.Log(err)
-				} else {
+				case "page":
+					event.PageFailed.Log(err)
+				default:
 					event.SearchFailed.Log(err)
 				}
 			})
@@ -258,6 +262,7 @@
 		p.doorPart(),
 		p.searchPart(),
 		p.controlPart(),
+		p.pagePart(),
 	}
 }
 
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -22,19 +22,21 @@
 
 	Operator, KeyFile string // address of the operators' API over TCP, and the key that it takes
 	File              string // the operators' file
+	Page              string // address of the page
 }
 
 // StartDemo starts one. Everything lies in a folder of its own, which Close removes.
 func StartDemo(seed uint64) (*Demo, error) {
 	w, err := newWorld(shape{name: "demo", seed: seed, servers: 6, nodes: 1, slices: 4, records: 500, each: 2, maxOpen: 1000, memoryMB: 128,
-		reshape: "poll = \"200ms\"\nretire_after = \"1s\"", operator: "socket = \"DIR/linkpass.sock\"\nlisten = \"127.0.0.1:0\"\nkeys = \"DIR/keys.toml\"",
+		reshape: "poll = \"200ms\"\nretire_after = \"1s\"", operator: "socket = \"DIR/linkpass.sock\"\nlisten = \"127.0.0.1:0\"\nkeys = \"DIR/keys.toml\"\npage = \"127.0.0.1:0\"",
 		keys: "\"demo\" = \"" + strings.Repeat("d0", 32) + "\"\n",
 		work: standin.Work{Cores: 2, Part: 20 * time.Millisecond, Record: 20 * time.Microsecond, Queue: 64, CopyRate: 200, Cold: 5 * time.Second, ColdShare: 0.2}})
 	if err != nil {
 		return nil, err
 	}
 	return &Demo{w: w, Socket: filepath.Join(w.dir, "linkpass.sock"), Search: w.nodes[0].search,
-		Operator: w.nodes[0].p.Status().Operator, KeyFile: filepath.Join(w.dir, "keys.toml"), File: filepath.Join(w.dir, "n0-search.toml")}, nil
+		Operator: w.nodes[0].p.Status().Operator, KeyFile: filepath.Join(w.dir, "keys.toml"), File: filepath.Join(w.dir, "n0-search.toml"),
+		Page: w.nodes[0].p.Status().Page}, nil
 }
 
 // Fleet is the demo's fleet.
@@ -53,6 +55,9 @@
 	defer d.Close()
 	fmt.Printf(`six stand-in servers, discovery and a coordinator, ready after %d ms. Try, in another terminal:
 
+  a browser at http://%[6]s/
+      the fleet, slices, service by class, open plans
+
   curl -s '%[2]s/players/_search?size=2'
       two of the 500 players, "failed":0
 
@@ -64,7 +69,7 @@
       a server dies (and comes back cold after 5 s): it is avoided, and searches stay whole
 
 Ctrl-C ends it.
-`, time.Since(began).Milliseconds(), d.Search, d.Socket, uint64(layout.FirstSlice), os.Getpid())
+`, time.Since(began).Milliseconds(), d.Search, d.Socket, uint64(layout.FirstSlice), os.Getpid(), d.Page)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	kills := make(chan os.Signal, 1)
