--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// Levels change by part, at once; a reload brings back what the file says. (The log is the process's, so this is no script.)
+func TestLevelsInService(t *testing.T) {
+	d := demo(t, 6)
+	run := func(want int, args ...string) string {
+		t.Helper()
+		var out, errOut bytes.Buffer
+		if code := Main(append([]string{"--socket", d.Socket}, args...), &out, &errOut); code != want {
+			t.Errorf("%v: exit code %d: %s", args, code, errOut.String())
+		}
+		return out.String() + errOut.String()
+	}
+	if out := run(Done, "log", "peer", "error"); !strings.Contains(out, "peer       error") {
+		t.Error(out)
+	}
+	if out := run(Done, "log", "-o", "json"); !strings.Contains(out, `"peer": "error"`) {
+		t.Error(out)
+	}
+	run(Refused, "log", "peer", "loud")
+	run(Refused, "log", "nobody", "warn")
+	run(Refused, "log", "peer")
+	run(Done, "config", "reload")
+	if out := run(Done, "log"); !strings.Contains(out, "peer       info") || !strings.Contains(out, "raft       warn") {
+		t.Error(out)
+	}
+}
+
 // A reader that has read enough ends a command quietly.
 func TestAPipeThatCloses(t *testing.T) {
 	d := demo(t, 5)
