The daemon carries neither command line nor page: linkpass-ctl does, called as linkpass

Cause: kong and html/template call methods by name, which keeps all methods in a binary: 16.0 MB, 12.0 MB resident against 9.0 before there was a command line. linkpass is the daemon again and becomes linkpass-ctl for any other command; linkpass page draws from the operators' API in a process of its own, so it shows a coordinator that hangs, too, and costs queries nothing.

--- a/cmd/linkpass/main.go
+++ b/cmd/linkpass/main.go
@@ -1,10 +1,10 @@
-// Linkpass is the coordinator, and the command line of those who look after it.
+// Linkpass is the coordinator, and leads to the command line of those who look after it.
 package main
 
 import (
 	"os"
 
-	"linkpass/internal/cli"
+	"linkpass/internal/launch"
 )
 
-func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(launch.Main(os.Args[1:])) }
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -8,18 +8,15 @@
 	"io"
 	"maps"
 	"os"
-	"os/exec"
-	"os/signal"
-	"path/filepath"
 	"slices"
 	"strings"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"linkpass/internal/control"
 	"linkpass/internal/control/seal"
 	"linkpass/internal/daemon"
+	"linkpass/internal/launch"
 )
 
 type checkCommand struct {
@@ -171,26 +168,9 @@
 	Args []string `arg:"" optional:"" passthrough:"" help:"Handed on to linkpass-lab demo."`
 }
 
-// Run starts the lab's demo, which is a program of its own: the daemon carries no stand-ins.
-func (c demoCommand) Run(e *env) error {
-	self, err := os.Executable()
-	if err != nil {
-		return fmt.Errorf("demo: %w", err)
-	}
-	lab := filepath.Join(filepath.Dir(self), "linkpass-lab")
-	cmd := exec.Command(lab, append([]string{"demo"}, c.Args...)...)
-	cmd.Stdout, cmd.Stderr, cmd.Stdin = e.out, e.err, os.Stdin
-	signal.Ignore(os.Interrupt) // it is the demo's to end on
-	defer signal.Reset(os.Interrupt)
-	err = cmd.Run()
-	var exit *exec.ExitError
-	if errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signaled() {
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("demo: %s: %w", lab, err)
-	}
-	return nil
+// Run becomes the lab's demo, which is a program of its own: neither the daemon nor the command line carries stand-ins.
+func (c demoCommand) Run(*env) error {
+	return launch.Exec("linkpass-lab", append([]string{"demo"}, c.Args...))
 }
 
 type completeCommand struct {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,14 +3,10 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -19,7 +15,7 @@
 
 	"linkpass/internal/control"
 	"linkpass/internal/daemon"
-	"linkpass/internal/event"
+	"linkpass/internal/launch"
 )
 
 // Exit codes.
@@ -43,7 +39,7 @@
 	Output  string        `short:"o" enum:"table,json" default:"table" help:"table or json."`
 	Timeout time.Duration `help:"For one call, or for what --wait waits for." default:"5s"`
 
-	Serve    serveCommand    `cmd:"" default:"withargs" help:"Run the coordinator; also without a command."`
+	Serve    serveCommand    `cmd:"" help:"Run the coordinator; also without a command."`
 	Check    checkCommand    `cmd:"" help:"Check the files and the environment; tell all that is wrong."`
 	Config   configCommands  `cmd:"" help:"Settings."`
 	Status   statusCommand   `cmd:"" help:"How the coordinator stands."`
@@ -55,6 +51,7 @@
 	Store    storeCommands   `cmd:"" help:"The replicated store."`
 	Bodies   bodiesCommand   `cmd:"" help:"Where bodies kept for retries lie."`
 	Log      logCommand      `cmd:"" help:"The least levels of log lines by part of the program; change one."`
+	Page     pageCommand     `cmd:"" help:"Serve a page for a browser: fleet, slices, service by class, open plans."`
 	Demo     demoCommand     `cmd:"" help:"A fleet, discovery and a coordinator on this machine, to try."`
 	Complete completeCommand `cmd:"" name:"completion" help:"Print a completion script for bash."`
 	Version  versionCommand  `cmd:"" help:"The program's version."`
@@ -71,9 +68,6 @@
 
 // Main runs one command line and tells the exit code.
 func Main(args []string, out, errOut io.Writer) (code int) {
-	if len(args) == 0 { // the platform's start: the command line is not built up, which costs memory
-		return (&env{out: out, err: errOut}).code((&serveCommand{OpenSearch: daemon.DefaultSearchFile}).Run(nil))
-	}
 	var c commands
 	e := &env{out: out, err: errOut, cli: &c}
 	exited := -1
@@ -87,7 +81,7 @@
 		return Misused
 	}
 	e.app = app
-	ctx, err := app.Parse(oldFlags(args))
+	ctx, err := app.Parse(args)
 	if exited >= 0 {
 		return exited
 	}
@@ -122,18 +116,6 @@
 	return client, nil
 }
 
-// oldFlags takes the one flag that the program had before it had commands.
-func oldFlags(args []string) []string {
-	out := make([]string, len(args))
-	for i, a := range args {
-		if a == "-opensearch" || strings.HasPrefix(a, "-opensearch=") {
-			a = "-" + a
-		}
-		out[i] = a
-	}
-	return out
-}
-
 // code words an error and finds its exit code.
 func (e *env) code(err error) int {
 	switch {
@@ -183,32 +165,9 @@
 	OpenSearch string `name:"opensearch" help:"File of the search front and of all that operators set." default:"${search_file}"`
 }
 
-// Run serves until SIGTERM.
-func (s *serveCommand) Run(e *env) error {
-	news := daemon.ListenForNews()
-	cfg, err := daemon.Load(os.Getenv)
-	if err == nil {
-		cfg.Search, err = daemon.LoadSearch(s.OpenSearch)
-	}
-	if err == nil {
-		cfg.Search.Log.Apply(os.Stderr)
-		err = cfg.Check()
-	}
-	if err != nil {
-		event.ConfigBad.Log(err)
-		os.Exit(1)
-	}
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	p, err := daemon.Start(cfg)
-	if err == nil {
-		err = p.Serve(term, news)
-	}
-	if err != nil {
-		event.Failed.Log(err)
-		os.Exit(1)
-	}
-	return nil
+// Run becomes the daemon. The plain forms of serve come there without this detour.
+func (s *serveCommand) Run(*env) error {
+	return launch.Exec("linkpass", []string{"--opensearch", s.OpenSearch})
 }
 
 type versionCommand struct{}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -20,10 +20,12 @@
 	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/lab"
+	"linkpass/internal/launch"
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"linkpass": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) }})
+	testscript.Main(m, map[string]func(){"linkpass": func() { os.Exit(launch.Main(os.Args[1:])) },
+		"linkpass-ctl": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) }})
 }
 
 // Every command, with its exit codes and its output, against a coordinator on a stand-in fleet.
--- a/internal/cli/look.go
+++ b/internal/cli/look.go
@@ -16,14 +16,9 @@
 
 type statusCommand struct{}
 
-func (e *env) status() (s control.Status, err error) {
-	err = e.client.Call("GET", "/status", nil, &s)
-	return s, err
-}
-
 // Run shows how the coordinator stands.
 func (statusCommand) Run(e *env) error {
-	s, err := e.status()
+	s, err := e.client.Status()
 	if err != nil {
 		return err
 	}
@@ -74,8 +69,8 @@
 
 // Run shows what the module believes of the servers.
 func (serversCommand) Run(e *env) error {
-	var list []control.Server
-	if err := e.client.Call("GET", "/servers", nil, &list); err != nil {
+	list, err := e.client.Servers()
+	if err != nil {
 		return err
 	}
 	return e.show(list, func(w io.Writer) { serverRows(w, list) })
@@ -106,7 +101,7 @@
 
 // Run shows where bodies lie.
 func (bodiesCommand) Run(e *env) error {
-	s, err := e.status()
+	s, err := e.client.Status()
 	if err != nil {
 		return err
 	}
@@ -134,7 +129,7 @@
 	}
 	if c.Wait {
 		if err := e.wait("queries are still open", func() (bool, error) {
-			s, err := e.status()
+			s, err := e.client.Status()
 			return err == nil && s.InFlight == 0, err
 		}); err != nil {
 			return err
@@ -177,7 +172,7 @@
 			time.Sleep(c.Every)
 		}
 		var b strings.Builder
-		s, err := e.status()
+		s, err := e.client.Status()
 		if err != nil {
 			fmt.Fprintf(&b, "%s  %v\n", time.Now().Format(time.TimeOnly), err)
 		} else {
@@ -219,8 +214,8 @@
 	if st := s.Store; st != nil {
 		fmt.Fprintf(w, "store %s  leader %s  revision %d\n", st.ID, orNone(st.Leader), st.Revision)
 	}
-	var list []control.Server
-	if err := e.client.Call("GET", "/servers", nil, &list); err != nil {
+	list, err := e.client.Servers()
+	if err != nil {
 		fmt.Fprintf(w, "servers: %v\n", err)
 		return
 	}
--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -27,7 +27,7 @@
 
 // Run shows the members.
 func (storeMembers) Run(e *env) error {
-	s, err := e.status()
+	s, err := e.client.Status()
 	if err != nil {
 		return err
 	}
@@ -53,7 +53,7 @@
 
 // Run prints the leader.
 func (storeLeader) Run(e *env) error {
-	s, err := e.status()
+	s, err := e.client.Status()
 	if err != nil {
 		return err
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -83,6 +83,24 @@
 	return nil
 }
 
+// Status asks how the coordinator stands.
+func (c *Client) Status() (s Status, err error) {
+	err = c.Call("GET", "/status", nil, &s)
+	return s, err
+}
+
+// Servers asks what the module believes of the servers.
+func (c *Client) Servers() (list []Server, err error) {
+	err = c.Call("GET", "/servers", nil, &list)
+	return list, err
+}
+
+// Layouts asks for the layouts that can move.
+func (c *Client) Layouts() (list []IndexLayout, err error) {
+	err = c.Call("GET", "/layouts", nil, &list)
+	return list, err
+}
+
 // crowdedPause is between two tries where every place of the API is taken: callers that do not
 // come to an end give way after a second.
 const crowdedPause = 100 * time.Millisecond
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 	"linkpass/internal/catalog"
 	"linkpass/internal/event"
 	"linkpass/internal/http1"
+	"linkpass/internal/layout"
 	"linkpass/internal/store"
 )
 
@@ -39,7 +40,6 @@
 	Store      *StoreStatus  `json:"store,omitempty"`
 	Fronts     []string      `json:"fronts"`                    // addresses
 	Operator   string        `json:"operator_listen,omitempty"` // address of this API over TCP
-	Page       string        `json:"page,omitempty"`            // address of the page for a browser
 	ResidentKB int64         `json:"resident_kb,omitempty"`
 }
 
@@ -70,6 +70,18 @@
 	Plans   int    `json:"plans"`
 }
 
+// IndexLayout is the layout of an index, as far as it can be drawn.
+type IndexLayout struct {
+	Index   string         `json:"index"`
+	Version uint64         `json:"version"`
+	Total   int            `json:"total"`  // slices
+	Slices  []layout.Slice `json:"slices"` // the first MaxSlices of them, in the order of their keys
+	Plans   []layout.Plan  `json:"plans,omitempty"`
+}
+
+// MaxSlices bounds the slices, and the open plans, that are told of an index.
+const MaxSlices = 500
+
 // StoreStatus is how the replicated store stands here.
 type StoreStatus struct {
 	ID       string        `json:"id"`
@@ -128,6 +140,7 @@
 	Drain() string
 	Activate() string
 	Settings() []Setting
+	Layouts() []IndexLayout
 	Reload() (Reloaded, error)
 	Store() *store.Store   // nil: there is none
 	Search() http1.Handler // nil: there is none
@@ -161,6 +174,8 @@
 			return fail(503, err)
 		}
 		return reply(list)
+	case "GET layouts":
+		return reply(h.Layouts())
 	case "PUT drain":
 		return reply(map[string]string{"state": h.Drain()})
 	case "PUT activate":
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,6 +19,7 @@
 	"linkpass/internal/coordinator"
 	"linkpass/internal/discovery"
 	"linkpass/internal/http1"
+	"linkpass/internal/layout"
 	"linkpass/internal/parts"
 	"linkpass/internal/store"
 )
@@ -28,7 +30,6 @@
 	Listen string `toml:"listen"` // of the API over TCP; "": not there
 	Keys   string `toml:"keys"`   // file of the keys that sign calls over TCP
 	Window string `toml:"window"`
-	Page   string `toml:"page"` // address of the page for a browser; "": not there
 }
 
 const (
@@ -196,7 +197,6 @@
 		s.Core = "busy"
 	}
 	s.Classes = p.classStatus()
-	s.Page, _ = p.pageAddr.Load().(string)
 	s.Operator, _ = p.controlAddr.Load().(string)
 	for _, a := range p.Addrs() {
 		s.Fronts = append(s.Fronts, a.String())
@@ -272,6 +272,26 @@
 	return out, nil
 }
 
+// Layouts tells of the indices whose slices can move, by name.
+func (p *Program) Layouts() []control.IndexLayout {
+	c := (*p.current.Load())()
+	var out []control.IndexLayout
+	for _, name := range slices.Sorted(maps.Keys(c.Indices)) {
+		l := c.Layout(name)
+		if l == nil {
+			continue
+		}
+		in := control.IndexLayout{Index: name, Version: l.Version(), Total: l.Len(), Plans: l.Plans()}
+		l.Each(layout.All, func(s layout.Slice) bool {
+			in.Slices = append(in.Slices, s)
+			return len(in.Slices) < control.MaxSlices
+		})
+		in.Plans = in.Plans[:min(len(in.Plans), control.MaxSlices)]
+		out = append(out, in)
+	}
+	return out
+}
+
 // Drain empties the coordinator, Activate takes clients again; both tell where it stands then.
 func (p *Program) Drain() string { return p.gate.Drain().String() }
 
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"linkpass/internal/event"
+)
+
+// Arguments reads a command line that does no more than start the daemon: nothing, or serve, and the operators' file in
+// any of the forms that were ever taken. Every other one is for linkpass-ctl.
+func Arguments(args []string) (file string, ok bool) {
+	if len(args) > 0 && args[0] == "serve" {
+		args = args[1:]
+	}
+	if len(args) == 0 {
+		return DefaultSearchFile, true
+	}
+	flag, file, joined := strings.Cut(args[0], "=")
+	switch {
+	case flag != "-opensearch" && flag != "--opensearch":
+		return "", false
+	case joined && len(args) == 1:
+		return file, true
+	case !joined && len(args) == 2:
+		return args[1], true
+	}
+	return "", false
+}
+
+// Main runs the daemon until SIGTERM, and tells the exit code.
+func Main(file string) (code int) {
+	news := ListenForNews()
+	cfg, err := Load(os.Getenv)
+	if err == nil {
+		cfg.Search, err = LoadSearch(file)
+	}
+	if err == nil {
+		cfg.Search.Log.Apply(os.Stderr)
+		err = cfg.Check()
+	}
+	if err != nil {
+		event.ConfigBad.Log(err)
+		return 1
+	}
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	p, err := Start(cfg)
+	if err == nil {
+		err = p.Serve(term, news)
+	}
+	if err != nil {
+		event.Failed.Log(err)
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -75,7 +75,6 @@
 
 	fixed       atomic.Pointer[catalog.Catalog] // the file's, where there is no store
 	keys        keyring
-	pageAddr    atomic.Value // string: of the page
 	controlAddr atomic.Value // string: of the API over TCP
 	reloading   sync.Mutex   // one at a time
 
@@ -201,8 +200,6 @@
 				switch name {
 				case "control":
 					event.ControlFailed.Log(err)
-				case "page":
-					event.PageFailed.Log(err)
 				default:
 					event.SearchFailed.Log(err)
 				}
@@ -262,7 +259,6 @@
 		p.doorPart(),
 		p.searchPart(),
 		p.controlPart(),
-		p.pagePart(),
 	}
 }
 
--- a/internal/daemon/schema.go
+++ b/internal/daemon/schema.go
@@ -46,7 +46,6 @@
 	{Name: "operator.listen", Type: schema.Address, Doc: "the same API over TCP, for signed calls alone; needs `operator.keys`"},
 	{Name: "operator.keys", Type: schema.String, Live: true, Doc: "file of the keys that sign calls, read again with every reload; nobody else may read it"},
 	{Name: "operator.window", Type: schema.Duration, Default: "30s", Min: "1s", Max: "10m", Doc: "how far a signed call's time may be off"},
-	{Name: "operator.page", Type: schema.Address, Doc: "a page for a browser, which only shows; it asks for no key, so keep it on the loopback"},
 	{Name: "log.format", Type: schema.String, Default: "text", OneOf: []string{"text", "json"}, Doc: "of the log's lines ([oncall.md](oncall.md))"},
 	{Name: "log.level", Type: schema.String, Default: "info", OneOf: logLevels, Live: true, Doc: "least level of a line; the Raft library's own lines need `warn` at least"},
 	{Name: "log.levels.*", Type: schema.String, OneOf: logLevels, Live: true, Doc: "the same for one part of the program"},
@@ -161,7 +160,6 @@
 	}
 	tell("listen", c.Listen)
 	tell("operator.listen", c.Operator.Listen)
-	tell("operator.page", c.Operator.Page)
 	for i, m := range c.Store.Members {
 		tell(fmt.Sprintf("store.members.%d.raft", i), m.Raft)
 		if m.ID != c.Store.ID { // its own is listen
--- a/internal/event/registry.go
+++ b/internal/event/registry.go
@@ -26,8 +26,6 @@
 	CallRefused = register("control", "call_refused", "why", hclog.Warn,
 		"a call of the operators' API over TCP that was not signed as it must be, or is a replay; answered 401 or 429",
 		"`the call's time is off`: set the clocks; else find the caller")
-	PageFailed = register("page", "page_failed", "err", hclog.Warn,
-		"the page or its samples failed; nothing else is touched", "keep the log, tell the developers")
 	Failed = register("daemon", "failed", "err", hclog.Error,
 		"the program could not start, or ended with an error; exit code 1",
 		"most often an address in use or a store's directory that can't be written")
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -10,7 +11,9 @@
 	"syscall"
 	"time"
 
+	"linkpass/internal/control"
 	"linkpass/internal/layout"
+	"linkpass/internal/page"
 	"linkpass/internal/standin"
 )
 
@@ -22,21 +25,19 @@
 
 	Operator, KeyFile string // address of the operators' API over TCP, and the key that it takes
 	File              string // the operators' file
-	Page              string // address of the page
 }
 
 // StartDemo starts one. Everything lies in a folder of its own, which Close removes.
 func StartDemo(seed uint64) (*Demo, error) {
 	w, err := newWorld(shape{name: "demo", seed: seed, servers: 6, nodes: 1, slices: 4, records: 500, each: 2, maxOpen: 1000, memoryMB: 128,
-		reshape: "poll = \"200ms\"\nretire_after = \"1s\"", operator: "socket = \"DIR/linkpass.sock\"\nlisten = \"127.0.0.1:0\"\nkeys = \"DIR/keys.toml\"\npage = \"127.0.0.1:0\"",
+		reshape: "poll = \"200ms\"\nretire_after = \"1s\"", operator: "socket = \"DIR/linkpass.sock\"\nlisten = \"127.0.0.1:0\"\nkeys = \"DIR/keys.toml\"",
 		keys: "\"demo\" = \"" + strings.Repeat("d0", 32) + "\"\n",
 		work: standin.Work{Cores: 2, Part: 20 * time.Millisecond, Record: 20 * time.Microsecond, Queue: 64, CopyRate: 200, Cold: 5 * time.Second, ColdShare: 0.2}})
 	if err != nil {
 		return nil, err
 	}
 	return &Demo{w: w, Socket: filepath.Join(w.dir, "linkpass.sock"), Search: w.nodes[0].search,
-		Operator: w.nodes[0].p.Status().Operator, KeyFile: filepath.Join(w.dir, "keys.toml"), File: filepath.Join(w.dir, "n0-search.toml"),
-		Page: w.nodes[0].p.Status().Page}, nil
+		Operator: w.nodes[0].p.Status().Operator, KeyFile: filepath.Join(w.dir, "keys.toml"), File: filepath.Join(w.dir, "n0-search.toml")}, nil
 }
 
 // Fleet is the demo's fleet.
@@ -53,6 +54,13 @@
 		return err
 	}
 	defer d.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	go func() { _ = page.Serve(ctx, ln, &control.Client{Socket: d.Socket, Limit: time.Second}) }()
 	fmt.Printf(`six stand-in servers, discovery and a coordinator, ready after %d ms. Try, in another terminal:
 
   a browser at http://%[6]s/
@@ -69,9 +77,7 @@
       a server dies (and comes back cold after 5 s): it is avoided, and searches stay whole
 
 Ctrl-C ends it.
-`, time.Since(began).Milliseconds(), d.Search, d.Socket, uint64(layout.FirstSlice), os.Getpid(), d.Page)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+`, time.Since(began).Milliseconds(), d.Search, d.Socket, uint64(layout.FirstSlice), os.Getpid(), ln.Addr())
 	kills := make(chan os.Signal, 1)
 	signal.Notify(kills, syscall.SIGUSR1)
 	for next := 0; ; next++ {
--- a/internal/page/page.go
+++ b/internal/page/page.go
@@ -2,50 +2,43 @@
 
 import (
 	"bytes"
-	"context"
 	_ "embed"
 	"fmt"
 	"hash/fnv"
 	"html/template"
 	"math"
-	"net/textproto"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
-	"linkpass/internal/catalog"
 	"linkpass/internal/control"
-	"linkpass/internal/event"
-	"linkpass/internal/http1"
 	"linkpass/internal/layout"
 )
 
-// Coordinator is what the page draws.
-type Coordinator interface {
-	Status() control.Status
+// Source is what the page draws; control.Client is one.
+type Source interface {
+	Status() (control.Status, error)
 	Servers() ([]control.Server, error)
+	Layouts() ([]control.IndexLayout, error)
 }
 
 // Handler serves the page at /. Everything else is not there, and nothing can be ordered.
 type Handler struct {
-	Coordinator Coordinator
-	Catalog     func() *catalog.Catalog
-	Series      *Series
-	Now         func() time.Time
-
-	lines event.Lines
+	Source Source
+	Series *Series
+	Now    func() time.Time
 }
 
 //go:embed page.html
 var text string
 
-// page is read when it is first asked for: where it is off it costs no memory.
-var page = sync.OnceValue(func() *template.Template { return template.Must(template.New("page").Parse(text)) })
+var page = template.Must(template.New("page").Parse(text))
 
 const (
 	chartWidth, chartHeight = 640, 120
-	maxDrawn                = 500 // slices of an index, plans, servers
+	maxDrawn                = control.MaxSlices // servers and plans; the source bounds slices
 )
 
 // view is what the template draws.
@@ -53,7 +46,7 @@
 	Status  control.Status
 	Now     string
 	Servers []server
-	Asleep  string // why there are no servers
+	Faults  []string // what the coordinator did not answer
 	Charts  []chart
 	Indices []index
 	Plans   []plan
@@ -100,53 +93,63 @@
 
 var steps = []layout.Step{layout.Planned, layout.Copying, layout.BothHold, layout.Switched, layout.Retired}
 
-// Serve answers with the page as things stand.
-func (h *Handler) Serve(_ context.Context, _ time.Duration, req *http1.Request) *http1.Response {
-	switch {
-	case req.Path != "/":
-		return plain(404, "only / is here\n")
-	case req.Method != "GET" && req.Method != "HEAD":
-		res := plain(405, "this page only shows\n")
-		res.Header.Set("Allow", "GET")
-		return res
+// ServeHTTP answers with the page as things stand.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if !named(req.Host) {
+		http.Error(w, "ask for this page by its address", http.StatusMisdirectedRequest)
+		return
 	}
+	v := h.view()
 	var out bytes.Buffer
-	v, err := h.view()
-	if err == nil {
-		err = page().Execute(&out, v)
+	if err := page.Execute(&out, v); err != nil {
+		http.Error(w, "the page could not be drawn: "+err.Error(), http.StatusInternalServerError)
+		return
 	}
-	if err != nil {
-		h.lines.Log(event.PageFailed, err)
-		return plain(500, "the page could not be drawn; see the log\n")
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	// Nothing from elsewhere, no scripts: what servers and indices are called cannot do harm.
+	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'; frame-ancestors 'none'")
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = w.Write(out.Bytes()) // a browser that has gone hears nothing
+}
+
+// named tells whether a page was asked for by address. Guards against a site elsewhere whose name is made to lead
+// here, and whose scripts would then read the page.
+func named(host string) bool {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
 	}
-	return &http1.Response{Status: 200, Body: out.Bytes(), Header: textproto.MIMEHeader{"Content-Type": {"text/html; charset=utf-8"},
-		// Nothing from elsewhere, no scripts: what servers and indices are called cannot do harm.
-		"Content-Security-Policy": {"default-src 'none'; style-src 'unsafe-inline'; frame-ancestors 'none'"}, "Cache-Control": {"no-store"}}}
+	return host == "localhost" || net.ParseIP(strings.Trim(host, "[]")) != nil
 }
 
-func plain(status int, body string) *http1.Response {
-	return &http1.Response{Status: status, Body: []byte(body), Header: textproto.MIMEHeader{"Content-Type": {"text/plain; charset=utf-8"}}}
-}
-
-func (h *Handler) view() (view, error) {
+// view asks for all that is drawn. What does not answer is said; the charts need no answer.
+func (h *Handler) view() view {
 	now := h.Now()
-	v := view{Status: h.Coordinator.Status(), Now: now.UTC().Format("2006-01-02 15:04:05"), Width: chartWidth, Height: chartHeight, Minutes: int(Window.Minutes())}
-	for _, c := range v.Status.Classes {
-		ch, err := h.chart(now, c.Name)
-		if err != nil {
-			return v, err
+	v := view{Now: now.UTC().Format("2006-01-02 15:04:05"), Width: chartWidth, Height: chartHeight, Minutes: int(Window.Minutes())}
+	note := func(err error) {
+		if err != nil && !slices.Contains(v.Faults, err.Error()) {
+			v.Faults = append(v.Faults, err.Error())
 		}
+	}
+	var err error
+	v.Status, err = h.Source.Status()
+	note(err)
+	for _, class := range h.Series.Classes() {
+		ch, err := h.chart(now, class)
+		note(err)
 		v.Charts = append(v.Charts, ch)
 	}
-	list, err := h.Coordinator.Servers()
 	if err != nil {
-		v.Asleep = err.Error()
+		return v
 	}
+	list, err := h.Source.Servers()
+	note(err)
 	for _, s := range list[:min(len(list), maxDrawn)] {
 		v.Servers = append(v.Servers, drawServer(s))
 	}
-	h.layouts(&v)
-	return v, nil
+	layouts, err := h.Source.Layouts()
+	note(err)
+	v.draw(layouts)
+	return v
 }
 
 func drawServer(s control.Server) server {
@@ -191,31 +194,17 @@
 	return c, nil
 }
 
-// layouts draws the indices that have one, and their open plans.
-func (h *Handler) layouts(v *view) {
-	c := h.Catalog()
-	names := make([]string, 0, len(c.Indices))
-	for name := range c.Indices {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		l := c.Layout(name)
-		if l == nil {
-			continue
-		}
-		in := index{Name: name, Version: l.Version(), Slices: l.Len()}
-		l.Each(layout.All, func(s layout.Slice) bool {
+// draw adds the layouts and their open plans.
+func (v *view) draw(layouts []control.IndexLayout) {
+	for _, l := range layouts {
+		in := index{Name: l.Index, Version: l.Version, Slices: l.Total}
+		for _, s := range l.Slices {
 			in.Drawn = append(in.Drawn, drawSlice(s))
-			return len(in.Drawn) < maxDrawn
-		})
+		}
 		v.Indices = append(v.Indices, in)
-		for _, p := range l.Plans() {
-			if len(v.Plans) == maxDrawn {
-				break
-			}
+		for _, p := range l.Plans[:min(len(l.Plans), maxDrawn-len(v.Plans))] {
 			r := p.Range()
-			v.Plans = append(v.Plans, plan{Index: name, ID: p.ID, Kind: string(p.Kind), Step: string(p.Step),
+			v.Plans = append(v.Plans, plan{Index: l.Index, ID: p.ID, Kind: string(p.Kind), Step: string(p.Step),
 				Range: fmt.Sprintf("%016x–%016x", r.First, r.Last), Done: max(0, slices.Index(steps, p.Step))})
 		}
 	}
--- a/internal/page/page_test.go
+++ b/internal/page/page_test.go
@@ -5,6 +5,9 @@
 	"encoding/xml"
 	"errors"
 	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strconv"
 	"strings"
@@ -12,9 +15,8 @@
 	"testing/synctest"
 	"time"
 
-	"linkpass/internal/catalog"
 	"linkpass/internal/control"
-	"linkpass/internal/http1"
+	"linkpass/internal/layout"
 )
 
 type fake struct {
@@ -22,18 +24,21 @@
 	err     error
 }
 
-func (f fake) Status() control.Status {
-	return control.Status{Name: "<b>n0</b>", State: "serving", Core: "ok", Classes: []control.ClassStatus{{Name: "lookup & <co>"}}}
+func (f fake) Status() (control.Status, error) {
+	return control.Status{Name: "<b>n0</b>", State: "serving", Core: "ok"}, f.err
 }
-func (f fake) Servers() ([]control.Server, error) { return f.servers, f.err }
+func (f fake) Servers() ([]control.Server, error) { return f.servers, nil }
 
-// settings has an index whose slices can move, with an open plan.
-func settings(t *testing.T) *catalog.Catalog {
-	c, err := catalog.Parse([]byte(`{"indices":{"players":{"class":"lookup","spread":{"slices":4,"sets":[["a","\u003cscript\u003e"],["c"]]}}},"servers":{}}`))
+// Layouts has an index with an open plan.
+func (f fake) Layouts() ([]control.IndexLayout, error) {
+	l, err := layout.Even(4, [][]string{{"a", "<script>"}, {"c"}})
+	if err == nil {
+		l, err = l.Apply(layout.Command{Order: &layout.Order{Kind: layout.Split, Slices: []layout.SliceID{layout.FirstSlice}, Into: 2}})
+	}
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	return c
+	return []control.IndexLayout{{Index: "players", Version: l.Version(), Total: l.Len(), Slices: l.Slices(), Plans: l.Plans()}}, nil
 }
 
 // What is served is a rate between two samples, over the window alone, and what is older does not stay in memory.
@@ -89,15 +94,16 @@
 			t.Fatal(err)
 		}
 	}
-	h := &Handler{Coordinator: fake{servers: []control.Server{{Name: "<script>alert(1)</script>", State: "in_service", Health: map[string]float64{"c": 0.25}}}},
-		Catalog: func() *catalog.Catalog { return settings(t) }, Series: s, Now: time.Now}
-	get := func(method, path string) *http1.Response {
-		return h.Serve(context.Background(), 0, &http1.Request{Method: method, Path: path})
+	h := &Handler{Source: fake{servers: []control.Server{{Name: "<script>alert(1)</script>", State: "in_service", Health: map[string]float64{"c": 0.25}}}},
+		Series: s, Now: time.Now}
+	get := func(host string) (int, string) {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("GET", "http://"+host+"/", nil))
+		return w.Code, w.Body.String()
 	}
-	res := get("GET", "/")
-	body := string(res.Body)
-	if res.Status != 200 || strings.Contains(body, "<script>") || strings.Contains(body, "<b>n0") || strings.Count(body, "<rect") != 4 || !strings.Contains(body, "0.25") {
-		t.Errorf("%d %s", res.Status, body)
+	status, body := get("127.0.0.1:9302")
+	if status != 200 || strings.Contains(body, "<script>") || strings.Contains(body, "<b>n0") || strings.Count(body, "<rect") != 4 || !strings.Contains(body, "0.25") {
+		t.Errorf("%d %s", status, body)
 	}
 	d := xml.NewDecoder(strings.NewReader(body))
 	d.Strict, d.AutoClose, d.Entity = false, xml.HTMLAutoClose, xml.HTMLEntity
@@ -119,11 +125,40 @@
 	if len(points) != 3*19 {
 		t.Errorf("%d points", len(points))
 	}
-	h.Coordinator = fake{err: control.ErrBusy}
-	if res := get("GET", "/"); !strings.Contains(string(res.Body), control.ErrBusy.Error()) {
-		t.Errorf("%s", res.Body)
+	h.Source = fake{err: control.ErrNobody}
+	if _, body := get("[::1]:1"); !strings.Contains(body, control.ErrNobody.Error()) || !strings.Contains(body, "<polyline") {
+		t.Errorf("%s", body)
+	}
+	if status, _ := get("evil.example"); status != http.StatusMisdirectedRequest {
+		t.Error(status)
+	}
+}
+
+// The page is there and nowhere else, and nothing can be ordered; it ends with its context, though nobody answers it.
+func TestServe(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, ln, fake{err: control.ErrNobody}) }()
+	for call, want := range map[[2]string]int{{"GET", "/"}: 200, {"PUT", "/"}: 405, {"GET", "/v1/drain"}: 404} {
+		req, err := http.NewRequest(call[0], "http://"+ln.Addr().String()+call[1], nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != want {
+			t.Errorf("%v: %d", call, res.StatusCode)
+		}
 	}
-	if a, b := get("PUT", "/"), get("GET", "/v1/drain"); a.Status != 405 || b.Status != 404 {
-		t.Error(a.Status, b.Status)
+	stop()
+	if err := <-done; err != nil {
+		t.Error(err)
 	}
 }
--- a/internal/page/series.go
+++ b/internal/page/series.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/nakabonne/tstorage"
@@ -27,8 +28,13 @@
 // Series is the answers by class over the last minutes. Its use of memory is bounded: two partitions of samples.
 type Series struct {
 	store tstorage.Storage
-	last  map[string]int64 // counts at the last sample, by class and kind
-	at    time.Time        // of the last sample
+
+	mu      sync.Mutex
+	classes []string // as last sampled
+
+	// Owned by Add's caller.
+	last map[string]int64 // counts at the last sample, by class and kind
+	at   time.Time        // of the last sample
 }
 
 // NewSeries makes an empty one, in memory.
@@ -49,14 +55,16 @@
 func (s *Series) Add(now time.Time, classes []control.ClassStatus) error {
 	first := s.at.IsZero()
 	per := now.Sub(s.at).Seconds()
-	if !first && per <= 0 {
-		return nil // the clock went back: the next sample counts from here
+	if per <= 0 {
+		first = true // the clock went back: count from here
 	}
 	var rows []tstorage.Row
+	var names []string
 	for _, c := range classes {
+		names = append(names, c.Name)
 		for i, n := range []int64{c.Served, c.Refused, c.Failed} {
 			name := c.Name + " " + kinds[i]
-			if !first {
+			if !first && n >= s.last[name] { // a count that fell is a restart: a gap
 				rows = append(rows, tstorage.Row{Metric: kinds[i], Labels: []tstorage.Label{{Name: "class", Value: c.Name}},
 					DataPoint: tstorage.DataPoint{Timestamp: now.UnixMilli(), Value: float64(n-s.last[name]) / per}})
 			}
@@ -64,6 +72,9 @@
 		}
 	}
 	s.at = now
+	s.mu.Lock()
+	s.classes = names
+	s.mu.Unlock()
 	if len(rows) == 0 {
 		return nil
 	}
@@ -73,6 +84,13 @@
 	return nil
 }
 
+// Classes are the classes as last sampled.
+func (s *Series) Classes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.classes
+}
+
 // point is a rate at a time.
 type point struct {
 	at   time.Time
