--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,8 @@
 	Output  string        `short:"o" enum:"table,json" default:"table" help:"table or json."`
 	Timeout time.Duration `help:"For one call, or for what --wait waits for." default:"5s"`
 
+	Numbered kong.VersionFlag `name:"version" help:"Print the program's version."`
+
 	Serve    serveCommand    `cmd:"" help:"Run the coordinator; also without a command."`
 	Check    checkCommand    `cmd:"" help:"Check the files and the environment; tell all that is wrong."`
 	Config   configCommands  `cmd:"" help:"Settings."`
@@ -71,7 +73,7 @@
 	var c commands
 	e := &env{out: out, err: errOut, cli: &c}
 	exited := -1
-	app, err := kong.New(&c, kong.Name("linkpass"), kong.Vars{"search_file": daemon.DefaultSearchFile}, kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }),
+	app, err := kong.New(&c, kong.Name("linkpass"), kong.Vars{"search_file": daemon.DefaultSearchFile, "version": "linkpass " + daemon.ProgramVersion()}, kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
 		kong.Description("The coordinator of a sharded query service, and what its operators need. "+
 			"Exit codes: 0 done, 1 refused or failed, 2 the command line is wrong, 3 no coordinator answers, 4 timed out. "+
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -225,7 +225,7 @@
 // The exit codes are those of docs/cli.md.
 func TestExitCodes(t *testing.T) {
 	nobody := t.TempDir() + "/none"
-	for want, args := range map[int][]string{Done: {"version"}, Misused: {"frobnicate"}, Nobody: {"--socket", nobody, "status"},
+	for want, args := range map[int][]string{Done: {"--version"}, Misused: {"frobnicate"}, Nobody: {"--socket", nobody, "status"},
 		Refused: {"check", "--file-only", "--opensearch", nobody}} {
 		if got := Main(args, io.Discard, io.Discard); got != want {
 			t.Errorf("%v: exit code %d, want %d", args, got, want)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,15 +1,21 @@
 package lab
 
 import (
+	"context"
 	"fmt"
 	"io"
-	"linkpass/internal/event"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
+
+	"linkpass/internal/control"
+	"linkpass/internal/event"
+	"linkpass/internal/http1"
+	"linkpass/internal/standin"
 )
 
 // A short run of the experiment keeps every rule and leaves its tables and its chart. How fast it
@@ -86,3 +92,80 @@
 	}
 	s[2].Cut(false)
 }
+
+// A backup that is taken while settings are written is one document that held, whole; restored into a cluster with other
+// members it brings the settings, and neither the members nor where slices lie.
+func TestBackupDuringWritesIntoAnotherCluster(t *testing.T) {
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
+	t.Setenv("TMPDIR", t.TempDir())
+	here, there := cluster(t, 11, 3), cluster(t, 12, 1)
+	call := func(n *node, method, path string, body []byte) *http1.Response {
+		return control.Handler{Coordinator: n.p}.Serve(context.Background(), 0, &http1.Request{Method: method, Path: "/v1" + path, Body: body})
+	}
+	stop, written := make(chan struct{}), make(chan int)
+	go func() {
+		for i := 1; ; i++ {
+			select {
+			case <-stop:
+				written <- i
+				return
+			default:
+			}
+			// Both keys change together: a backup with one alone would be torn.
+			text := fmt.Sprintf(`{"persistent":{"search.max_result_window":%d,"search.default_search_timeout":"%dms"}}`, 1000+i, 1000+i)
+			if status, body, err := here.ask(here.nodes[i%3], "PUT", "/_cluster/settings", text); err != nil || status != 200 {
+				t.Errorf("%d %s %v", status, body, err)
+			}
+		}
+	}()
+	var last []byte
+	revision := uint64(0)
+	for taken := 0; taken < 20; {
+		res := call(here.nodes[taken%3], "GET", "/store/backup", nil)
+		if res.Status != 200 { // it does not lead
+			taken = (taken + 1) % 3
+			continue
+		}
+		doc, err := control.OpenBackup(res.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := fmt.Sprintf("%dms", doc.Search.MaxResultWindow); doc.Search.Timeout != "" && doc.Search.Timeout != want || doc.Revision < revision {
+			t.Fatalf("torn or old: %+v, revision %d after %d", doc.Search, doc.Revision, revision)
+		}
+		last, revision = res.Body, doc.Revision
+		taken += 3
+	}
+	close(stop)
+	<-written
+	before, members := there.nodes[0].p.Layouts(), fmt.Sprint(there.nodes[0].p.Store().Members())
+	if res := call(there.nodes[0], "PUT", "/store/document", last); res.Status != 200 {
+		t.Fatalf("%d %s", res.Status, res.Body)
+	}
+	doc, err := control.OpenBackup(last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := there.nodes[0].p.Store().Current()
+	if now.Search.MaxResultWindow != doc.Search.MaxResultWindow || revision < 2 {
+		t.Errorf("%+v, backup %+v of revision %d", now.Search, doc.Search, revision)
+	}
+	if after := there.nodes[0].p.Layouts(); !reflect.DeepEqual(before, after) || fmt.Sprint(there.nodes[0].p.Store().Members()) != members {
+		t.Error("the restore moved slices or members")
+	}
+	if status, body, err := there.ask(there.nodes[0], "POST", "/players/_search", `{"size":1}`); err != nil || !strings.Contains(string(body), `"failed":0`) {
+		t.Errorf("%d %s %v", status, body, err)
+	}
+}
+
+// cluster starts coordinators on a fleet of their own.
+func cluster(t *testing.T, seed uint64, nodes int) *world {
+	w, err := newWorld(shape{name: "cluster", seed: seed, servers: 4, nodes: nodes, slices: 2, records: 50, each: 2, maxOpen: 100, memoryMB: 64,
+		reshape: "poll = \"200ms\"", work: standin.Work{Cores: 2, Part: time.Millisecond, Queue: 64, CopyRate: 200}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.close)
+	return w
+}
