The pure core of agreed configuration: typed commands, facts of drains, two sources merged

Need: the store replicates whole documents, and a drain ordered at a cut-off leader would wait for a majority. internal/config applies typed commands (preconditions, once only, no slice left bare unless forced and said, replayable byte for byte through CBOR); internal/config/facts joins orders heard beside the log with what the log settled; internal/config/merge makes one list of discovery's and the agreed one. Not wired into the daemon yet.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,179 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/config/facts"
+	"linkpass/internal/layout"
+	_ "linkpass/internal/seeded"
+)
+
+// settings have an index with two sets of holders, a+b and c.
+func settings(t interface{ Fatal(...any) }) *catalog.Catalog {
+	c, err := catalog.Parse([]byte(`{"indices":{"players":{"class":"lookup","spread":{"slices":2,"sets":[["a","b"],["c"]]}}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+var servers = []string{"a", "b", "c", "d", "e"}
+
+// command draws one that may be anything, sound or not, made on a version that may be the right one.
+func command(t *rapid.T, s *State, n int) Command {
+	c := Command{Kind: Kind(rapid.IntRange(1, int(kinds)-1).Draw(t, "kind")), Server: rapid.SampledFrom(servers).Draw(t, "server"),
+		Weight: rapid.SampledFrom([]float64{-1, 0, 0.5, 2}).Draw(t, "weight")}
+	if rapid.Bool().Draw(t, "client") {
+		c.Client, c.Seq = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "name"), uint64(rapid.IntRange(1, 20).Draw(t, "seq"))
+	}
+	if now, ok := s.Server(c.Server); ok && rapid.Bool().Draw(t, "if") {
+		c.If = now.Version + uint64(rapid.IntRange(0, 1).Draw(t, "off"))
+	}
+	switch c.Kind {
+	case AddServer, ChangeServer:
+		c.Spec = &Spec{Addr: rapid.SampledFrom([]string{"", "h:1", "h:2"}).Draw(t, "addr"), Cell: rapid.IntRange(-1, 1).Draw(t, "cell")}
+	case Restrict:
+		c.Order = &facts.Order{ID: facts.ID{Origin: facts.Origin{Instance: rapid.SampledFrom([]string{"n0", "n1"}).Draw(t, "instance"), Boot: 1}, Seq: uint64(rapid.IntRange(0, n+1).Draw(t, "order"))},
+			Server: c.Server, Kind: facts.Restriction(rapid.IntRange(0, 3).Draw(t, "how")), Force: rapid.Bool().Draw(t, "force")}
+	case Undrain:
+		c.Names = []facts.ID{{Origin: facts.Origin{Instance: "n0", Boot: 1}, Seq: uint64(rapid.IntRange(1, n+1).Draw(t, "named"))}}
+	case Patch:
+		c.If = rapid.SampledFrom([]uint64{0, s.Revised(), 7}).Draw(t, "on")
+		c.Text = []byte(rapid.SampledFrom([]string{`{"search":{"max_result_window":5}}`, `{"search":{"max_result_window":-5}}`, `{`}).Draw(t, "patch"))
+	case Layout:
+		c.Index = rapid.SampledFrom([]string{"players", "nobody"}).Draw(t, "index")
+		c.Advance = &layout.Command{Order: &layout.Order{Kind: layout.Split, Slices: []layout.SliceID{layout.FirstSlice}, Into: 2}}
+	}
+	return c
+}
+
+// Whatever commands come: the old state is untouched; a removed id stays away; no slice that had a holder in service loses
+// its last one unless it was forced and said; a command asked again gives its first answer and changes nothing but the
+// count; and the history, through its encoding and through a snapshot at any place, gives the same state byte for byte.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(settings(t))
+		var history [][]byte
+		snapAt, snap := rapid.IntRange(0, 40).Draw(t, "snapshot at"), []byte(nil)
+		for n := range rapid.IntRange(1, 40).Draw(t, "commands") {
+			if n == snapAt {
+				snap = words(t, s)
+			}
+			c := command(t, s, n)
+			entry, err := Encode(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			history = append(history, entry)
+			before, gone := words(t, s), s.Gone()
+			next, r := s.Apply(c)
+			if !bytes.Equal(words(t, s), before) {
+				t.Fatalf("%+v changed the state that it was applied to", c)
+			}
+			for _, id := range gone {
+				if _, back := next.Server(id); back || next.Agreed(id) != facts.Removed {
+					t.Fatalf("%s came back", id)
+				}
+			}
+			checkBare(t, s, next, c, r)
+			if c.Client != "" && r.Reason != Old {
+				again, r2 := next.Apply(c)
+				if fmt.Sprint(r2) != fmt.Sprint(r) || again.Version() != next.Version()+1 || !slices.Equal(again.Servers(), next.Servers()) || again.Revised() != next.Revised() {
+					t.Fatalf("asked again: %+v, then %+v", r, r2)
+				}
+			}
+			s = next
+		}
+		replayed := New(settings(t))
+		if snap != nil {
+			var err error
+			if replayed, err = Restore(snap); err != nil {
+				t.Fatal(err)
+			}
+			history = history[snapAt:]
+		}
+		for _, entry := range history {
+			c, err := Decode(entry)
+			if err != nil {
+				t.Fatal(err)
+			}
+			replayed, _ = replayed.Apply(c)
+		}
+		if !bytes.Equal(words(t, replayed), words(t, s)) {
+			t.Fatal("the history gives another state")
+		}
+	})
+}
+
+func words(t *rapid.T, s *State) []byte {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// checkBare looks at the slices by itself: by holders, not by the code under test.
+func checkBare(t *rapid.T, before, after *State, c Command, r Result) {
+	served := func(s *State, holders []string) bool {
+		return slices.ContainsFunc(holders, func(id string) bool { return s.Agreed(id) == facts.None })
+	}
+	for _, slice := range after.Settings().Layout("players").Slices() {
+		if served(before, slice.Holders) && !served(after, slice.Holders) && (c.Order == nil || !c.Order.Force || len(r.Bare) == 0) {
+			t.Fatalf("%+v left slice %d bare: %+v", c, slice.ID, r)
+		}
+	}
+}
+
+// An entry that was cut, changed, or is of a later program stops the instance; it is never half applied and never a panic.
+func TestEntriesOfLaterPrograms(t *testing.T) {
+	entry, err := Encode(Command{Kind: SetWeight, Server: "a", Weight: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	later, _ := encoding.Marshal(map[int]any{1: uint8(kinds), 5: "a"})
+	field, _ := encoding.Marshal(map[int]any{1: uint8(SetWeight), 5: "a", 99: "more"})
+	for name, data := range map[string][]byte{"format": append([]byte{format + 1}, entry[1:]...), "kind": append([]byte{format}, later...),
+		"field": append([]byte{format}, field...), "empty": nil, "after": append(slices.Clone(entry), 0)} {
+		if c, err := Decode(data); !errors.Is(err, ErrFormat) {
+			t.Errorf("%s: %+v %v", name, c, err)
+		}
+	}
+	for i := range entry {
+		if _, err := Decode(entry[:i]); !errors.Is(err, ErrFormat) {
+			t.Errorf("cut at %d: %v", i, err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		data := slices.Clone(entry)
+		data[rapid.IntRange(0, len(data)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		if c, err := Decode(data); err == nil {
+			New(settings(t)).Apply(c)
+		}
+		if _, err := Restore(data); err == nil {
+			t.Fatal("an entry was taken for a snapshot")
+		}
+	})
+}
+
+// What is remembered of clients and withdrawals is bounded, and bounded the same way everywhere.
+func TestBounds(t *testing.T) {
+	s := New(settings(t))
+	for i := range uint64(MaxClients + 50) {
+		s, _ = s.Apply(Command{Kind: Restrict, Client: fmt.Sprint("client", i), Seq: 1,
+			Order: &facts.Order{ID: facts.ID{Origin: facts.Origin{Instance: "n", Boot: 1}, Seq: i + 1}, Server: "c", Kind: facts.Draining}})
+	}
+	if n := len(s.Withdrawn()); n != MaxWithdrawn || len(s.sessions) != MaxClients || s.Agreed("c") != facts.None || len(s.Settled().Marks()) != 1 {
+		t.Errorf("%d withdrawn, %d clients, %s", n, len(s.sessions), s.Agreed("c"))
+	}
+	if _, ok := s.sessions["client0"]; ok {
+		t.Error("the oldest client is remembered")
+	}
+}
--- /dev/null
+++ b/internal/config/merge/merge_test.go
@@ -0,0 +1,124 @@
+package merge
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"linkpass"
+	"linkpass/internal/config/facts"
+	"linkpass/internal/coordinator"
+	_ "linkpass/internal/seeded"
+)
+
+var names = []string{"a", "b", "c"}
+
+func line(t *rapid.T, label string) coordinator.Member {
+	return coordinator.Member{Name: rapid.SampledFrom(names).Draw(t, label+" name"), Addr: rapid.SampledFrom([]string{"h:1", "h:2"}).Draw(t, label+" addr"),
+		Entry: linkpass.Entry{State: linkpass.ServerState(rapid.IntRange(0, 2).Draw(t, label+" state")), Weight: 1, Since: 0}}
+}
+
+// Whatever both sources say, in whatever order, the list that the news add up to is what the rules make of the two last
+// words; a restriction holds in the very news that bring it, and none is lifted while either source holds it.
+func TestTheListIsWhatTheRulesSay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		discovered, agreed := map[string]coordinator.Member{}, map[string]Agreed{}
+		list := map[string]coordinator.Member{}
+		take := func(l coordinator.List) {
+			if l.Mode == linkpass.ListFailed {
+				return
+			}
+			if l.Mode != linkpass.ListDelta {
+				clear(list)
+			}
+			for _, s := range l.Members {
+				if s.State == linkpass.Gone {
+					delete(list, s.Name)
+				} else {
+					list[s.Name] = s
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"delta": func(t *rapid.T) {
+				s := line(t, "s")
+				if s.State == linkpass.Gone {
+					delete(discovered, s.Name)
+				} else {
+					discovered[s.Name] = s
+				}
+				take(m.Discovery(coordinator.List{Mode: linkpass.ListDelta, Members: []coordinator.Member{s}}))
+			},
+			"full": func(t *rapid.T) {
+				clear(discovered)
+				l := coordinator.List{Mode: linkpass.ListFull}
+				for _, name := range names {
+					if s := line(t, "s"); rapid.Bool().Draw(t, "listed") && s.State != linkpass.Gone {
+						s.Name = name
+						discovered[name] = s
+						l.Members = append(l.Members, s)
+					}
+				}
+				take(m.Discovery(l))
+			},
+			"failed": func(t *rapid.T) { take(m.Discovery(coordinator.List{Mode: linkpass.ListFailed})) },
+			"agreed": func(t *rapid.T) {
+				name := rapid.SampledFrom(names).Draw(t, "name")
+				a := Agreed{Hold: facts.Restriction(rapid.IntRange(0, 2).Draw(t, "hold")), Weight: float64(rapid.IntRange(0, 2).Draw(t, "weight"))}
+				if rapid.Bool().Draw(t, "added") {
+					a.Added = &coordinator.Member{Name: name, Addr: "added:1", Entry: linkpass.Entry{State: linkpass.Ready, Weight: 1}}
+				}
+				agreed[name] = a
+				take(m.Agreed(map[string]Agreed{name: a}))
+			},
+			"": func(t *rapid.T) {
+				want := map[string]coordinator.Member{}
+				for _, name := range names {
+					s, ok := discovered[name]
+					a := agreed[name]
+					if !ok && a.Added == nil || a.Hold == facts.Removed {
+						continue
+					}
+					if !ok {
+						s = *a.Added
+					}
+					if a.Hold == facts.Draining {
+						s.State = linkpass.Draining
+					}
+					if a.Weight > 0 {
+						s.Weight = a.Weight
+					}
+					want[name] = s
+				}
+				if !maps.Equal(list, want) {
+					t.Fatalf("%v, want %v", list, want)
+				}
+			},
+		})
+	})
+}
+
+// A source that comes back with the past changes nothing: neither a list from before this process, nor an older start of a
+// server's process.
+func TestThePastIsPassedOver(t *testing.T) {
+	m := New()
+	s := coordinator.Member{Name: "a", Addr: "h:2", Entry: linkpass.Entry{State: linkpass.Draining, Since: 20}}
+	m.Discovery(coordinator.List{Mode: linkpass.ListFull, Members: []coordinator.Member{s}})
+	old := s
+	old.Since, old.State, old.Addr = 10, linkpass.Ready, "h:1"
+	for _, mode := range []linkpass.ListMode{linkpass.ListDelta, linkpass.ListFull, linkpass.ListCached} {
+		m.Discovery(coordinator.List{Mode: mode, Members: []coordinator.Member{old}})
+		if got := fmt.Sprint(m.all()); got != fmt.Sprint([]coordinator.Member{s}) {
+			t.Errorf("mode %d: %s", mode, got)
+		}
+	}
+	next := s
+	next.Since, next.State = 30, linkpass.Ready
+	if l := m.Discovery(coordinator.List{Mode: linkpass.ListDelta, Members: []coordinator.Member{next}}); !slices.Contains(l.Members, next) {
+		t.Errorf("a new process: %v", l)
+	}
+}
--- /dev/null
+++ b/internal/config/state.go
@@ -0,0 +1,143 @@
+package config
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"lukechampine.com/blake3"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/config/facts"
+)
+
+// Server is what is agreed of a server. One that only discovery lists has no Spec, but may have a weight or a drain.
+type Server struct {
+	Version uint64            `cbor:"1,keyasint" json:"version"` // of the state at its last change
+	Spec    *Spec             `cbor:"2,keyasint,omitempty" json:"spec,omitempty"`
+	Weight  float64           `cbor:"3,keyasint,omitempty" json:"weight,omitempty"` // 0: discovery's
+	Hold    facts.Restriction `cbor:"4,keyasint,omitempty" json:"restriction,omitempty"`
+}
+
+// Withdrawn is an order that the log did not take.
+type Withdrawn struct {
+	Order facts.Order `cbor:"1,keyasint" json:"order"`
+	Why   Reason      `cbor:"2,keyasint" json:"why"`
+	At    uint64      `cbor:"3,keyasint" json:"at"` // version
+}
+
+// session is a client's last command.
+type session struct {
+	Seq    uint64 `cbor:"1,keyasint"`
+	Result Result `cbor:"2,keyasint"`
+	At     uint64 `cbor:"3,keyasint"` // version
+}
+
+// State is what is agreed. A published one is never changed: Apply gives the next.
+type State struct {
+	version   uint64
+	servers   map[string]Server
+	gone      map[string]bool
+	sessions  map[string]session
+	settled   facts.Settled
+	withdrawn []Withdrawn
+	settings  *catalog.Catalog
+	revised   uint64 // version at the last change of the settings
+}
+
+// New is the state before the first command, with the settings that an instance's file names.
+func New(settings *catalog.Catalog) *State {
+	return &State{servers: map[string]Server{}, gone: map[string]bool{}, sessions: map[string]session{}, settings: settings}
+}
+
+// Version counts the commands that came, refused ones too.
+func (s *State) Version() uint64 { return s.version }
+
+// Settings are the settings that hold. They are not the caller's to change.
+func (s *State) Settings() *catalog.Catalog { return s.settings }
+
+// Revised is the version at which the settings last changed.
+func (s *State) Revised() uint64 { return s.revised }
+
+// Server is what is agreed of a server.
+func (s *State) Server(id string) (Server, bool) { v, ok := s.servers[id]; return v, ok }
+
+// Servers are all that something is agreed of, by id.
+func (s *State) Servers() []string { return slices.Sorted(maps.Keys(s.servers)) }
+
+// Gone are the removed ids.
+func (s *State) Gone() []string { return slices.Sorted(maps.Keys(s.gone)) }
+
+// Settled is what the log has decided of orders.
+func (s *State) Settled() facts.Settled { return s.settled }
+
+// Agreed is a server's restriction by the log.
+func (s *State) Agreed(id string) facts.Restriction {
+	if s.gone[id] {
+		return facts.Removed
+	}
+	return s.servers[id].Hold
+}
+
+// Withdrawn are the last orders that the log did not take, oldest first.
+func (s *State) Withdrawn() []Withdrawn { return slices.Clone(s.withdrawn) }
+
+// document is a state as it is kept. Its form is that of the format's number.
+type document struct {
+	Version   uint64             `cbor:"1,keyasint"`
+	Servers   map[string]Server  `cbor:"2,keyasint"`
+	Gone      []string           `cbor:"3,keyasint"`
+	Sessions  map[string]session `cbor:"4,keyasint"`
+	Settled   []facts.Mark       `cbor:"5,keyasint"`
+	Withdrawn []Withdrawn        `cbor:"6,keyasint"`
+	Settings  []byte             `cbor:"7,keyasint"`
+	Revised   uint64             `cbor:"8,keyasint"`
+}
+
+// Snapshot words the state; equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	settings, err := json.Marshal(s.settings)
+	if err != nil {
+		return nil, fmt.Errorf("config: snapshot: %w", err)
+	}
+	data, err := encoding.Marshal(document{s.version, s.servers, s.Gone(), s.sessions, s.settled.Marks(), s.withdrawn, settings, s.revised})
+	if err != nil {
+		return nil, fmt.Errorf("config: snapshot: %w", err)
+	}
+	return append([]byte{format}, data...), nil
+}
+
+// Restore reads a snapshot.
+func Restore(data []byte) (*State, error) {
+	if len(data) == 0 || data[0] != format {
+		return nil, fmt.Errorf("%w: a snapshot of format %d", ErrFormat, first(data))
+	}
+	var d document
+	if err := decoding.Unmarshal(data[1:], &d); err != nil {
+		return nil, fmt.Errorf("config: snapshot: %w", err)
+	}
+	settings, err := catalog.Parse(d.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("config: snapshot: %w", err)
+	}
+	s := New(settings)
+	s.version, s.withdrawn, s.revised, s.settled = d.Version, d.Withdrawn, d.Revised, facts.FromMarks(d.Settled)
+	maps.Copy(s.servers, d.Servers)
+	maps.Copy(s.sessions, d.Sessions)
+	for _, id := range d.Gone {
+		s.gone[id] = true
+	}
+	return s, nil
+}
+
+// Hash is a sum of the state, to compare instances by.
+func (s *State) Hash() (string, error) {
+	data, err := s.Snapshot()
+	if err != nil {
+		return "", err
+	}
+	sum := blake3.Sum256(data)
+	return hex.EncodeToString(sum[:16]), nil
+}
