The store replicates typed commands; an entry of a later program stops it honestly

Need: every change replicated the whole document, and an unknown entry was skipped, which diverges. Entries are commands of internal/config in CBOR; settings change by patch, layouts by step, once a first document has made instances with different files alike.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,9 +59,21 @@
 	Version  versionCommand  `cmd:"" help:"The program's version."`
 }
 
+// output notes that whoever reads it has gone. The same error on the way to a coordinator is no reason to be quiet.
+type output struct {
+	io.Writer
+	closed bool
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	n, err := o.Writer.Write(p)
+	o.closed = o.closed || errors.Is(err, syscall.EPIPE)
+	return n, err
+}
+
 // env is what a command works with.
 type env struct {
-	out    io.Writer
+	out    *output
 	err    io.Writer
 	cli    *commands
 	client *control.Client
@@ -71,7 +83,7 @@
 // Main runs one command line and tells the exit code.
 func Main(args []string, out, errOut io.Writer) (code int) {
 	var c commands
-	e := &env{out: out, err: errOut, cli: &c}
+	e := &env{out: &output{Writer: out}, err: errOut, cli: &c}
 	exited := -1
 	app, err := kong.New(&c, kong.Name("linkpass"), kong.Vars{"search_file": daemon.DefaultSearchFile, "version": "linkpass " + daemon.ProgramVersion()}, kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
@@ -121,7 +133,7 @@
 // code words an error and finds its exit code.
 func (e *env) code(err error) int {
 	switch {
-	case err == nil, errors.Is(err, syscall.EPIPE): // whoever read has read enough
+	case err == nil, e.out.closed: // whoever read has read enough
 		return Done
 	case errors.Is(err, control.ErrNobody):
 		fmt.Fprintln(e.err, "linkpass:", err)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -200,9 +200,7 @@
 			t.Fatal(err)
 		}
 		defer nc.Close()
-		if _, err := io.WriteString(nc, "GET /v1/sta"); err != nil {
-			t.Fatal(err)
-		}
+		_, _ = io.WriteString(nc, "GET /v1/sta") // those that had to make room already can't
 	}
 	var out, errOut bytes.Buffer
 	if code := Main([]string{"--socket", d.Socket, "status"}, &out, &errOut); code != Done || !strings.Contains(out.String(), "serving") {
@@ -231,7 +229,7 @@
 			t.Errorf("%v: exit code %d, want %d", args, got, want)
 		}
 	}
-	e := &env{err: io.Discard, cli: &commands{}}
+	e := &env{out: &output{Writer: io.Discard}, err: io.Discard, cli: &commands{}}
 	if got := e.code(e.wait("it", func() (bool, error) { return false, nil })); got != TimedOut {
 		t.Errorf("a wait in vain: exit code %d", got)
 	}
--- a/internal/cli/look.go
+++ b/internal/cli/look.go
@@ -162,7 +162,7 @@
 // Run shows a live view. A coordinator that does not answer is said, and asked again.
 func (c topCommand) Run(e *env) error {
 	terminal := false
-	if f, ok := e.out.(*os.File); ok {
+	if f, ok := e.out.Writer.(*os.File); ok {
 		terminal = term.IsTerminal(int(f.Fd()))
 	}
 	var last control.Status
@@ -182,7 +182,7 @@
 		if terminal {
 			fmt.Fprint(e.out, "\x1b[H\x1b[2J")
 		}
-		if _, err := io.WriteString(e.out, cut(b.String(), columns(e.out))); err != nil {
+		if _, err := io.WriteString(e.out, cut(b.String(), columns(e.out.Writer))); err != nil {
 			return err
 		}
 	}
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -61,6 +61,10 @@
 	if len(c.Client) > MaxName || len(c.Server) > MaxName {
 		return refuse(Malformed, "a name has %d bytes at most", MaxName)
 	}
+	if s.revised == 0 && c.Kind != Document {
+		// Instances may differ in what their files say: only a document makes them alike.
+		return refuse(Unfounded, "command %d", c.Kind)
+	}
 	switch c.Kind {
 	case AddServer, ChangeServer:
 		return s.specify(c)
@@ -215,7 +219,7 @@
 	if c.Kind == Document {
 		next, err = catalog.ParseAfter(c.Text, s.settings)
 	}
-	if err == nil {
+	if err == nil && s.revised != 0 {
 		err = next.Follows(s.settings)
 	}
 	if err != nil {
@@ -226,7 +230,9 @@
 
 func (s *State) revise(next *catalog.Catalog) Result {
 	c := *next
-	c.Revision = s.settings.Revision + 1
+	if c.Revision = 1; s.revised != 0 {
+		c.Revision = s.settings.Revision + 1
+	}
 	s.settings, s.revised = &c, s.version+1
 	return Result{}
 }
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -67,6 +67,7 @@
 	Bare      Reason = "it would leave a slice without a holder in service"
 	Decided   Reason = "the order was decided before"
 	Old       Reason = "a later command of the same client came first"
+	Unfounded Reason = "the settings were never agreed; a document comes first"
 	Full      Reason = "there is no room for more of these"
 	Malformed Reason = "it cannot be used"
 )
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -24,6 +25,19 @@
 	return c
 }
 
+// founded is the state after the first document.
+func founded(t interface{ Fatal(...any) }) *State {
+	doc, err := json.Marshal(settings(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, r := New(&catalog.Catalog{}).Apply(Command{Kind: Document, Text: doc})
+	if r.Reason != Done {
+		t.Fatal(r)
+	}
+	return s
+}
+
 var servers = []string{"a", "b", "c", "d", "e"}
 
 // command draws one that may be anything, sound or not, made on a version that may be the right one.
@@ -59,7 +73,7 @@
 // count; and the history, through its encoding and through a snapshot at any place, gives the same state byte for byte.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := New(settings(t))
+		s := founded(t)
 		var history [][]byte
 		snapAt, snap := rapid.IntRange(0, 40).Draw(t, "snapshot at"), []byte(nil)
 		for n := range rapid.IntRange(1, 40).Draw(t, "commands") {
@@ -91,7 +105,7 @@
 			}
 			s = next
 		}
-		replayed := New(settings(t))
+		replayed := founded(t)
 		if snap != nil {
 			var err error
 			if replayed, err = Restore(snap); err != nil {
@@ -155,7 +169,7 @@
 		data := slices.Clone(entry)
 		data[rapid.IntRange(0, len(data)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
 		if c, err := Decode(data); err == nil {
-			New(settings(t)).Apply(c)
+			founded(t).Apply(c)
 		}
 		if _, err := Restore(data); err == nil {
 			t.Fatal("an entry was taken for a snapshot")
@@ -163,9 +177,31 @@
 	})
 }
 
+// Instances whose files differ are alike from the first document on, and take nothing before it.
+func TestFilesThatDiffer(t *testing.T) {
+	one, other := New(settings(t)), New(&catalog.Catalog{Search: catalog.Defaults{MaxResultWindow: 7}})
+	doc, err := json.Marshal(settings(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []Command{{Kind: SetWeight, Server: "a", Weight: 2}, {Kind: Document, Text: doc}, {Kind: SetWeight, Server: "a", Weight: 2}} {
+		var r, r2 Result
+		one, r = one.Apply(c)
+		other, r2 = other.Apply(c)
+		if r.Reason != r2.Reason || (r.Reason == Unfounded) != (i == 0) {
+			t.Errorf("command %d: %+v, %+v", i, r, r2)
+		}
+	}
+	a, err := one.Hash()
+	b, err2 := other.Hash()
+	if a != b || err != nil || err2 != nil {
+		t.Error("they differ", err, err2)
+	}
+}
+
 // What is remembered of clients and withdrawals is bounded, and bounded the same way everywhere.
 func TestBounds(t *testing.T) {
-	s := New(settings(t))
+	s := founded(t)
 	for i := range uint64(MaxClients + 50) {
 		s, _ = s.Apply(Command{Kind: Restrict, Client: fmt.Sprint("client", i), Seq: 1,
 			Order: &facts.Order{ID: facts.ID{Origin: facts.Origin{Instance: "n", Boot: 1}, Seq: i + 1}, Server: "c", Kind: facts.Draining}})
--- a/internal/config/facts/explore_test.go
+++ b/internal/config/facts/explore_test.go
@@ -60,7 +60,7 @@
 	if s := x.nodes[key]; s != nil {
 		return s
 	}
-	log := config.New(&catalog.Catalog{})
+	log, _ := config.New(&catalog.Catalog{}).Apply(config.Command{Kind: config.Document, Text: []byte("{}")})
 	h := NewHeard(Origin{Instance: "n", Boot: 1})
 	h.Hear(log, n.orders...)
 	for _, c := range w.log[:n.prefix] {
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -52,6 +52,9 @@
 	return &State{servers: map[string]Server{}, gone: map[string]bool{}, sessions: map[string]session{}, settings: settings}
 }
 
+// Founded tells whether settings were agreed at all: until then each instance has those of its file.
+func (s *State) Founded() bool { return s.revised != 0 }
+
 // Version counts the commands that came, refused ones too.
 func (s *State) Version() uint64 { return s.version }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/textproto"
+	"syscall"
 	"time"
 
 	"lukechampine.com/blake3"
@@ -111,7 +112,10 @@
 	for end := time.Now().Add(c.Limit); ; time.Sleep(crowdedPause) {
 		data, err := c.once(method, path, body)
 		var no *Refused
-		if !errors.As(err, &no) || !no.unheard || time.Now().Add(crowdedPause).After(end) {
+		unheard := errors.As(err, &no) && no.unheard
+		// A connection that was closed before its call came is made again where asking twice does no harm.
+		unheard = unheard || method == "GET" && (errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET))
+		if !unheard || time.Now().Add(crowdedPause).After(end) {
 			return data, err
 		}
 	}
--- a/internal/daemon/reshape.go
+++ b/internal/daemon/reshape.go
@@ -9,6 +9,7 @@
 	"linkpass/internal/coordinator"
 	"linkpass/internal/discovery"
 	"linkpass/internal/event"
+	"linkpass/internal/layout"
 	"linkpass/internal/layout/reshape"
 	"linkpass/internal/layout/steward"
 )
@@ -102,7 +103,5 @@
 // Current is the document as this instance has it.
 func (s stored) Current() *catalog.Catalog { return s.p.opened.Load().Current() }
 
-// Update changes it.
-func (s stored) Update(change func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error) {
-	return s.p.opened.Load().Update(change)
-}
+// Step takes a step of a layout.
+func (s stored) Step(index string, c layout.Command) error { return s.p.opened.Load().Step(index, c) }
--- a/internal/event/registry.go
+++ b/internal/event/registry.go
@@ -26,6 +26,9 @@
 	CallRefused = register("control", "call_refused", "why", hclog.Warn,
 		"a call of the operators' API over TCP that was not signed as it must be, or is a replay; answered 401 or 429",
 		"`the call's time is off`: set the clocks; else find the caller")
+	StoreHalted = register("store", "store_halted", "index err", hclog.Error,
+		"an entry of the store is of a later program; this instance takes no further one, what held goes on holding here",
+		"bring this instance to the others' version and restart it; searches go on meanwhile")
 	Failed = register("daemon", "failed", "err", hclog.Error,
 		"the program could not start, or ended with an error; exit code 1",
 		"most often an address in use or a store's directory that can't be written")
@@ -129,8 +132,8 @@
 		"a well-framed request that is no query of ours, or one under the name of a query that is open (409); answered 4xx",
 		"the line says what is wrong with it")
 	SettingsBad = register("store", "settings_bad", "index err", hclog.Warn,
-		"an entry of the store can't be used; the settings stay as they were",
-		"instances of different versions: bring them to one")
+		"an entry of the store was not taken; what is agreed stays as it was",
+		"the line says why: most often two changes raced")
 	SettingsChanged = register("store", "settings_changed", "index", hclog.Info,
 		"the store applied a change of the search settings",
 		"nothing")
--- a/internal/layout/steward/steward.go
+++ b/internal/layout/steward/steward.go
@@ -48,7 +48,7 @@
 type Store interface {
 	Current() *catalog.Catalog
 	Leads() bool
-	Update(func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error)
+	Step(index string, c layout.Command) error
 }
 
 // Config sets up a steward.
@@ -307,17 +307,7 @@
 // take carries one step into the store. One that came too late is dropped: the next round
 // looks at what holds then.
 func (s *Steward) take(step reshape.Step) {
-	_, err := s.cfg.Store.Update(func(c *catalog.Catalog) (*catalog.Catalog, error) {
-		l := c.Layout(step.Index)
-		if l == nil {
-			return nil, fmt.Errorf("%w: index %q", layout.ErrUnknown, step.Index)
-		}
-		next, err := l.Apply(step.Command)
-		if err != nil || next == l {
-			return c, err
-		}
-		return c.WithLayout(step.Index, next), nil
-	})
+	err := s.cfg.Store.Step(step.Index, step.Command)
 	what, plan := "", layout.PlanID(0)
 	if a := step.Command.Advance; a != nil {
 		what, plan = string(a.Step), a.Plan
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,7 +19,9 @@
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/config"
 	"linkpass/internal/event"
+	"linkpass/internal/layout"
 )
 
 // Member is one instance of the store.
@@ -101,7 +103,7 @@
 	if initial == nil {
 		initial = &catalog.Catalog{}
 	}
-	s.machine.current.Store(initial)
+	s.machine.current.Store(config.New(initial))
 	bolt, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(c.Dir, "raft.db")})
 	if err != nil {
 		return nil, fmt.Errorf("store: log: %w", err)
@@ -154,7 +156,10 @@
 }
 
 // Current is the catalog as this instance has it.
-func (s *Store) Current() *catalog.Catalog { return s.machine.current.Load() }
+func (s *Store) Current() *catalog.Catalog { return s.State().Settings() }
+
+// State is all that is agreed, as this instance has it.
+func (s *Store) State() *config.State { return s.machine.current.Load() }
 
 // Read is the catalog as a majority confirms it; only the leader can tell.
 func (s *Store) Read() (*catalog.Catalog, error) {
@@ -170,10 +175,40 @@
 	return s.Current(), nil
 }
 
-// Change applies a merge patch once a majority has it. What is replicated is
-// the whole document, as instances may differ in what they began with.
+// Change applies a merge patch once a majority has it.
 func (s *Store) Change(patch []byte) (*catalog.Catalog, error) {
-	return s.Update(func(now *catalog.Catalog) (*catalog.Catalog, error) { return now.Patch(patch) })
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	now, err := s.Read()
+	if err != nil {
+		return nil, err
+	}
+	if next, err := now.Patch(patch); err != nil {
+		return nil, err // told here: the log takes only what can be used
+	} else if next == now {
+		return now, nil
+	}
+	return s.settle(config.Command{Kind: config.Patch, Text: patch})
+}
+
+// Step takes a step of an index's layout once a majority has it. A step that changes nothing is not replicated; one that
+// cannot be taken is the layout's error.
+func (s *Store) Step(index string, c layout.Command) error {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	now, err := s.Read()
+	if err != nil {
+		return err
+	}
+	l := now.Layout(index)
+	if l == nil {
+		return fmt.Errorf("%w: index %q", layout.ErrUnknown, index)
+	}
+	if next, err := l.Apply(c); err != nil || next == l {
+		return err
+	}
+	_, err = s.settle(config.Command{Kind: config.Layout, Index: index, Advance: &c})
+	return err
 }
 
 // Update replicates what change makes of the document that holds. It is a compare-and-set:
@@ -190,23 +225,84 @@
 	if err != nil || next == now {
 		return next, err
 	}
-	revised := *next
-	revised.Revision = now.Revision + 1
-	next = &revised
 	data, err := json.Marshal(next)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	future := s.raft.Apply(data, applyLimit)
-	if err := s.confirm(future); err != nil {
+	return s.settle(config.Command{Kind: config.Document, Text: data})
+}
+
+// settle replicates a command upon the settings that hold here, and gives those that hold then. The lock is held.
+func (s *Store) settle(c config.Command) (*catalog.Catalog, error) {
+	if err := s.found(c); err != nil {
 		return nil, err
 	}
-	if err, ok := future.Response().(error); ok {
+	c.If = s.State().Revised()
+	r, err := s.apply(c)
+	if err != nil {
 		return nil, err
 	}
+	if r.Reason != config.Done {
+		return nil, refused(r)
+	}
 	return s.Current(), nil
 }
 
+// found replicates this instance's settings before the first command that is no document: until then instances may differ.
+func (s *Store) found(c config.Command) error {
+	if s.State().Founded() || c.Kind == config.Document {
+		return nil
+	}
+	data, err := json.Marshal(s.Current())
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	r, err := s.apply(config.Command{Kind: config.Document, Text: data})
+	if err == nil && r.Reason != config.Done {
+		err = refused(r)
+	}
+	return err
+}
+
+// Command replicates a command once a majority has it, and tells what it came to. Only the leader takes one.
+func (s *Store) Command(c config.Command) (config.Result, error) {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	if err := s.leads(); err != nil {
+		return config.Result{}, err
+	}
+	if err := s.found(c); err != nil {
+		return config.Result{}, err
+	}
+	return s.apply(c)
+}
+
+func (s *Store) apply(c config.Command) (config.Result, error) {
+	data, err := config.Encode(c)
+	if err != nil {
+		return config.Result{}, fmt.Errorf("store: %w", err)
+	}
+	future := s.raft.Apply(data, applyLimit)
+	if err := s.confirm(future); err != nil {
+		return config.Result{}, err
+	}
+	switch r := future.Response().(type) {
+	case config.Result:
+		return r, nil
+	case error:
+		return config.Result{}, r
+	}
+	return config.Result{}, fmt.Errorf("store: no answer to an entry: %v", future.Response())
+}
+
+// refused words why the log did not take a command.
+func refused(r config.Result) error {
+	if r.Reason == config.Conflict {
+		return fmt.Errorf("%w: %s", ErrConflict, r.Detail)
+	}
+	return fmt.Errorf("%w: %s: %s", catalog.ErrInvalid, r.Reason, r.Detail)
+}
+
 // confirm waits until a majority has confirmed something.
 func (s *Store) confirm(future raft.Future) error {
 	done := make(chan error, 1)
@@ -229,6 +325,9 @@
 
 // leads tells why this instance can't answer for the store, if it can't.
 func (s *Store) leads() error {
+	if err := s.machine.halted.Load(); err != nil {
+		return *err
+	}
 	if s.raft.State() == raft.Leader {
 		return nil
 	}
@@ -254,62 +353,103 @@
 	return nil
 }
 
-// machine is the replicated state: the catalog.
+// machine is the replicated state.
 type machine struct {
-	current atomic.Pointer[catalog.Catalog]
+	current atomic.Pointer[config.State]
+	halted  atomic.Pointer[error] // why it takes no more entries; nil: it does
 	changed func(*catalog.Catalog)
 }
 
-// set publishes a document.
-func (m *machine) set(c *catalog.Catalog) {
-	m.current.Store(c)
-	if m.changed != nil {
-		m.changed(c)
+// set publishes a state.
+func (m *machine) set(s *config.State) {
+	was := m.current.Load()
+	m.current.Store(s)
+	if m.changed != nil && s.Settings() != was.Settings() {
+		m.changed(s.Settings())
 	}
 }
 
-// Apply takes the document of one entry.
+// Apply takes one entry. One that this program does not know ends its part in the store: to go on without it would be to
+// diverge. What held before goes on holding here, and reads and changes say why they fail.
 func (m *machine) Apply(entry *raft.Log) any {
-	now := m.current.Load()
-	next, err := catalog.ParseAfter(entry.Data, now)
-	if err == nil && next.Revision != 0 && next.Revision != now.Revision+1 { // 0: of a program before revisions
-		err = fmt.Errorf("%w: revision %d after %d", ErrConflict, next.Revision, now.Revision)
-	}
-	if err == nil {
-		err = next.Follows(now)
+	if why := m.halted.Load(); why != nil {
+		return *why
 	}
+	now := m.current.Load()
+	c, err := decode(entry.Data, now)
 	if err != nil {
-		event.SettingsBad.Log(entry.Index, err)
+		err = fmt.Errorf("store: entry %d: %w", entry.Index, err)
+		if errors.Is(err, config.ErrFormat) {
+			m.halted.Store(&err)
+			event.StoreHalted.Log(entry.Index, err)
+		} else {
+			event.SettingsBad.Log(entry.Index, err)
+		}
 		return err
 	}
+	next, r := now.Apply(c)
 	m.set(next)
-	event.SettingsChanged.Log(entry.Index)
-	return nil
+	if r.Reason != config.Done {
+		event.SettingsBad.Log(entry.Index, refused(r))
+	} else if next.Settings() != now.Settings() {
+		event.SettingsChanged.Log(entry.Index)
+	}
+	return r
 }
 
-// Snapshot is the catalog as it stands.
-func (m *machine) Snapshot() (raft.FSMSnapshot, error) { return snapshot{m.current.Load()}, nil }
+// decode reads an entry, also one from before there were commands: a document that names its revision.
+func decode(data []byte, now *config.State) (config.Command, error) {
+	if len(data) == 0 || data[0] != '{' {
+		return config.Decode(data)
+	}
+	doc, err := catalog.ParseAfter(data, now.Settings())
+	if err == nil && doc.Revision != 0 && doc.Revision != now.Settings().Revision+1 {
+		err = fmt.Errorf("%w: revision %d after %d", ErrConflict, doc.Revision, now.Settings().Revision)
+	}
+	return config.Command{Kind: config.Document, Text: data}, err
+}
 
-// Restore takes a snapshot's catalog.
+// Snapshot is the state as it stands.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	if why := m.halted.Load(); why != nil {
+		return nil, *why // it would claim entries that it does not hold
+	}
+	return snapshot{m.current.Load()}, nil
+}
+
+// Restore takes a snapshot's state, also one from before there were commands: a document.
 func (m *machine) Restore(in io.ReadCloser) error {
 	defer in.Close()
 	data, err := io.ReadAll(in)
 	if err != nil {
 		return fmt.Errorf("store: snapshot: %w", err)
 	}
-	c, err := catalog.Parse(data)
+	var s *config.State
+	if len(data) > 0 && data[0] == '{' {
+		s, _ = config.New(&catalog.Catalog{}).Apply(config.Command{Kind: config.Document, Text: data})
+		if !s.Founded() {
+			err = catalog.ErrInvalid
+		}
+	} else {
+		s, err = config.Restore(data)
+	}
 	if err != nil {
 		return fmt.Errorf("store: snapshot: %w", err)
 	}
-	m.set(c)
+	m.halted.Store(nil)
+	m.set(s)
 	return nil
 }
 
-type snapshot struct{ catalog *catalog.Catalog }
+type snapshot struct{ state *config.State }
 
-// Persist writes the catalog whole.
+// Persist writes the state whole.
 func (s snapshot) Persist(sink raft.SnapshotSink) error {
-	if err := json.NewEncoder(sink).Encode(s.catalog); err != nil {
+	data, err := s.state.Snapshot()
+	if err == nil {
+		_, err = sink.Write(data)
+	}
+	if err != nil {
 		_ = sink.Cancel()
 		return fmt.Errorf("store: snapshot: %w", err)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,8 +1,10 @@
 package store
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"path/filepath"
 	"testing"
@@ -11,6 +13,8 @@
 	"github.com/hashicorp/raft"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/config"
+	"linkpass/internal/config/facts"
 )
 
 // cluster is three instances on the loopback.
@@ -202,9 +206,9 @@
 // Two changes made on one document: the log holds both, and the second finds that another came first.
 func TestAChangeIsACompareAndSet(t *testing.T) {
 	m := &machine{}
-	m.current.Store(&catalog.Catalog{})
+	m.current.Store(config.New(&catalog.Catalog{}))
 	apply := func(text string) any { return m.Apply(&raft.Log{Data: []byte(text)}) }
-	if err := apply(`{"revision":1,"search":{"max_result_window":5}}`); err != nil {
+	if err, bad := apply(`{"revision":1,"search":{"max_result_window":5}}`).(error); bad {
 		t.Fatal(err)
 	}
 	if err, _ := apply(`{"revision":1,"search":{"max_result_window":9}}`).(error); !errors.Is(err, ErrConflict) {
@@ -213,10 +217,110 @@
 	if err, _ := apply(`{"revision":3,"search":{}}`).(error); !errors.Is(err, ErrConflict) {
 		t.Errorf("a revision left out: %v", err)
 	}
-	if err := apply(`{"search":{"max_result_window":7}}`); err != nil { // of a program before revisions
+	if err, bad := apply(`{"search":{"max_result_window":7}}`).(error); bad { // of a program before revisions
 		t.Errorf("an old entry: %v", err)
 	}
-	if got := m.current.Load(); got.Window() != 7 {
+	if got := m.current.Load(); got.Settings().Window() != 7 {
 		t.Errorf("holds %+v", got)
 	}
 }
+
+// An entry of a later program ends this instance's part: nothing after it is taken, nothing is read or snapshotted as if it
+// were whole, and what held before goes on holding. A newer program's snapshot or log brings it back.
+func TestAnEntryOfALaterProgram(t *testing.T) {
+	m := &machine{}
+	m.current.Store(config.New(&catalog.Catalog{}))
+	apply := func(data []byte) any { return m.Apply(&raft.Log{Data: data}) }
+	patch, err := config.Encode(config.Command{Kind: config.Document, Text: []byte(`{"search":{"max_result_window":5}}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := apply(patch); r.(config.Result).Reason != config.Done {
+		t.Fatal(r)
+	}
+	sound, err := m.current.Load().Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, data := range [][]byte{{99, 1}, patch} {
+		if err, _ := apply(data).(error); !errors.Is(err, config.ErrFormat) {
+			t.Errorf("%x: %v", data, err)
+		}
+	}
+	if _, err := m.Snapshot(); !errors.Is(err, config.ErrFormat) {
+		t.Errorf("a snapshot of what is not held: %v", err)
+	}
+	s := &Store{machine: m}
+	if err := s.leads(); !errors.Is(err, config.ErrFormat) || s.Current().Window() != 5 {
+		t.Errorf("%v, window %d", err, s.Current().Window())
+	}
+	if err := m.Restore(io.NopCloser(bytes.NewReader(sound))); err != nil {
+		t.Fatal(err)
+	}
+	if r, ok := apply(patch).(config.Result); !ok || r.Reason != config.Done {
+		t.Errorf("after a snapshot: %+v", r)
+	}
+	for i := range sound { // a snapshot that was cut is never taken
+		if err := m.Restore(io.NopCloser(bytes.NewReader(sound[:i]))); err == nil {
+			t.Fatalf("cut at %d", i)
+		}
+	}
+}
+
+// Commands through whoever leads: each holds at every instance alike, also where files differ; an answer that was lost is
+// asked for again and nothing is done twice; all of it is still there after a restart.
+func TestCommandsHoldEverywhere(t *testing.T) {
+	c := newCluster(t)
+	command := func(cmd config.Command) (r config.Result) {
+		c.until("a leader", func() bool {
+			for _, s := range c.stores {
+				var err error
+				if r, err = s.Command(cmd); err == nil {
+					return true
+				}
+			}
+			return false
+		})
+		return r
+	}
+	alike := func() {
+		c.until("the same state everywhere", func() bool {
+			hashes := map[string]bool{}
+			for _, s := range c.stores {
+				h, err := s.State().Hash()
+				if err != nil {
+					t.Fatal(err)
+				}
+				hashes[h] = true
+			}
+			return len(hashes) == 1
+		})
+	}
+	add := config.Command{Kind: config.AddServer, Client: "me", Seq: 1, Server: "s-9", Spec: &config.Spec{Addr: "127.0.0.1:1"}}
+	first := command(add)
+	if again := command(add); first.Reason != config.Done || again.Version != first.Version {
+		t.Errorf("%+v, asked again %+v", first, again)
+	}
+	order := facts.Order{ID: facts.ID{Origin: facts.Origin{Instance: "n0", Boot: 1}, Seq: 1}, Server: "s-9", Kind: facts.Draining}
+	if r := command(config.Command{Kind: config.Restrict, Order: &order}); r.Reason != config.Bare {
+		t.Errorf("the last of its cell was drained: %+v", r)
+	}
+	order.Force, order.ID.Seq = true, 2
+	if r := command(config.Command{Kind: config.Restrict, Order: &order}); r.Reason != config.Done || len(r.Bare) != 1 {
+		t.Errorf("forced: %+v", r)
+	}
+	c.change(window(7))
+	c.everywhere(7)
+	alike()
+	for i := range 3 {
+		c.stop(i)
+	}
+	for i := range 3 {
+		c.open(i, nil)
+	}
+	c.everywhere(7)
+	alike()
+	if got := c.stores[0].State(); got.Agreed("s-9") != facts.Draining || len(got.Withdrawn()) != 1 {
+		t.Errorf("%s, %+v", got.Agreed("s-9"), got.Withdrawn())
+	}
+}
