Drains hold at once and wait for no majority; servers are added, weighed and removed by agreement

Need: league servers came from discovery alone, and an order at a leader cut off would have waited. internal/agree keeps the list by discovery and agreement: an order holds where it is heard, goes to each other instance beside the log by a worker of its own, and is proposed until the log settles it. linkpass servers drain|undrain|remove|weight|add|agreed. Tests: three whole coordinators (drain at each, last holder refused, removal, equal hashes, two of three stopped: the drain holds, the undrain is refused), a script of the commands. make test green.

--- /dev/null
+++ b/internal/agree/agree.go
@@ -0,0 +1,288 @@
+// Package agree keeps an instance's list of servers by discovery and by what instances agree on: orders hold here at once,
+// are spread beside the log, and are proposed until the log has settled them. It decides nothing that internal/config does
+// not decide.
+package agree
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"linkpass/internal/config"
+	"linkpass/internal/config/facts"
+	"linkpass/internal/config/merge"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/event"
+)
+
+// Log is the replicated store.
+type Log interface {
+	State() *config.State
+	Leads() bool
+	Command(config.Command) (config.Result, error)
+}
+
+// Config sets up an instance's part.
+type Config struct {
+	Me       string // this instance's id
+	Boot     uint64 // of this process; grows from one to the next
+	Next     func(coordinator.List)
+	Member   func(id string, spec config.Spec) (coordinator.Member, error) // how an added server is listed
+	Spread   map[string]func(context.Context, []facts.Order) error         // to each other instance, by id
+	Counters *counters.Set
+}
+
+const (
+	spreadEvery  = 100 * time.Millisecond // while there is something unsettled
+	spreadLimit  = 300 * time.Millisecond // for one call
+	proposeEvery = 200 * time.Millisecond
+)
+
+// Agreement is an instance's part. Its methods may be called from anywhere.
+type Agreement struct {
+	cfg  Config
+	wake []chan struct{} // one for each who works while something is unsettled
+
+	mu     sync.Mutex // also orders what goes to Next
+	heard  *facts.Heard
+	merger *merge.Merger
+	log    Log // nil: not open yet
+	told   map[string]merge.Agreed
+}
+
+// New makes one that knows nothing yet.
+func New(c Config) *Agreement {
+	a := &Agreement{cfg: c, heard: facts.NewHeard(facts.Origin{Instance: c.Me, Boot: c.Boot}), merger: merge.New(), told: map[string]merge.Agreed{}}
+	for range len(c.Spread) + 1 {
+		a.wake = append(a.wake, make(chan struct{}, 1))
+	}
+	return a
+}
+
+// Open says that the log can be read from now on.
+func (a *Agreement) Open(log Log) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.log = log
+	a.tell(log.State().Gone())
+}
+
+// List takes discovery's news and hands on the list's.
+func (a *Agreement) List(l coordinator.List) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cfg.Next(a.merger.Discovery(l))
+}
+
+// Applied says that the log has moved on.
+func (a *Agreement) Applied() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.log == nil {
+		return
+	}
+	a.heard.Applied(a.log.State())
+	a.tell(nil)
+}
+
+// tell hands on what has changed of servers, these and all that something is agreed of. The lock is held.
+func (a *Agreement) tell(names []string) {
+	state := a.log.State()
+	names = append(names, state.Servers()...)
+	for _, o := range a.heard.Unsettled() {
+		names = append(names, o.Server)
+	}
+	for name := range a.told {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	news := map[string]merge.Agreed{}
+	for _, name := range slices.Compact(names) {
+		now := a.agreed(state, name)
+		if was := a.told[name]; !same(was, now) {
+			news[name], a.told[name] = now, now
+		}
+		if now == (merge.Agreed{}) {
+			delete(a.told, name)
+		}
+	}
+	if l := a.merger.Agreed(news); len(l.Members) > 0 {
+		a.cfg.Next(l)
+	}
+}
+
+func same(a, b merge.Agreed) bool {
+	return a.Hold == b.Hold && a.Weight == b.Weight && (a.Added == nil) == (b.Added == nil) && (a.Added == nil || *a.Added == *b.Added)
+}
+
+func (a *Agreement) agreed(state *config.State, name string) merge.Agreed {
+	v, _ := state.Server(name)
+	now := merge.Agreed{Hold: a.heard.Held(state, name), Weight: v.Weight}
+	if v.Spec != nil {
+		m, err := a.cfg.Member(name, *v.Spec)
+		if err != nil {
+			event.ListBad.Log(fmt.Errorf("agreed server %q: %w", name, err))
+			return now
+		}
+		now.Added = &m
+	}
+	return now
+}
+
+// ErrNotYet says that the store is not open.
+var ErrNotYet = errors.New("agree: the store is not open yet")
+
+// Restrict takes a server out of service: here at once, elsewhere as soon as it is heard there, for good once the log has it.
+// What the log would refuse by what is known here is refused here.
+func (a *Agreement) Restrict(server string, kind facts.Restriction, force bool) (facts.Order, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.log == nil {
+		return facts.Order{}, ErrNotYet
+	}
+	state := a.log.State()
+	probe := facts.Order{ID: facts.ID{Origin: facts.Origin{Instance: a.cfg.Me, Boot: a.cfg.Boot + 1}, Seq: 1}, Server: server, Kind: kind, Force: force}
+	if _, r := state.Apply(config.Command{Kind: config.Restrict, Order: &probe}); r.Reason != config.Done && r.Reason != config.Unfounded {
+		return facts.Order{}, &Refused{r}
+	}
+	o, err := a.heard.Give(server, kind, force)
+	if err != nil {
+		return o, err
+	}
+	if state.Settled().Has(o.ID) {
+		return o, fmt.Errorf("agree: order %s counts as settled: this process's clock is behind those before it", o.ID)
+	}
+	a.cfg.Counters.Add("orders_given", 1)
+	event.OrderHeard.Log(o.ID, o.Server, o.Kind, "an operator")
+	a.tell(nil)
+	a.stir()
+	return o, nil
+}
+
+// Refused is a command that the log did not take, or would not.
+type Refused struct{ config.Result }
+
+// Error says why.
+func (r *Refused) Error() string { return fmt.Sprintf("%s: %s", r.Reason, r.Detail) }
+
+// Hear takes orders from another instance, beside the log.
+func (a *Agreement) Hear(from string, orders []facts.Order) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.log == nil {
+		return ErrNotYet
+	}
+	news := a.heard.Hear(a.log.State(), orders...)
+	for _, o := range news {
+		a.cfg.Counters.Add("orders_heard", 1)
+		event.OrderHeard.Log(o.ID, o.Server, o.Kind, from)
+	}
+	if len(news) > 0 {
+		a.tell(nil)
+		a.stir()
+	}
+	return nil
+}
+
+// Unsettled are the orders that the log has not decided yet.
+func (a *Agreement) Unsettled() []facts.Order {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heard.Unsettled()
+}
+
+// stir wakes those who spread and propose.
+func (a *Agreement) stir() {
+	for _, c := range a.wake {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run spreads and proposes until the context ends: one worker for each other instance, so that one that hangs holds up
+// nobody, and one for the log.
+func (a *Agreement) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	i := 0
+	for id, send := range a.cfg.Spread {
+		wake := a.wake[i]
+		i++
+		all.Go(func() {
+			told := map[facts.ID]bool{}
+			a.work(ctx, wake, spreadEvery, func(open []facts.Order) { a.spread(ctx, id, send, open, told) })
+		})
+	}
+	all.Go(func() { a.work(ctx, a.wake[i], proposeEvery, a.propose) })
+	all.Wait()
+}
+
+// work does something again and again while orders are unsettled, and sleeps otherwise.
+func (a *Agreement) work(ctx context.Context, wake <-chan struct{}, every time.Duration, do func([]facts.Order)) {
+	for {
+		open := a.Unsettled()
+		if len(open) > 0 {
+			do(open)
+		}
+		var again <-chan time.Time
+		if len(open) > 0 {
+			again = time.After(every)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-again:
+		}
+	}
+}
+
+// spread tells another instance what it has not confirmed to have heard.
+func (a *Agreement) spread(ctx context.Context, id string, send func(context.Context, []facts.Order) error, open []facts.Order, told map[facts.ID]bool) {
+	still := map[facts.ID]bool{}
+	var news []facts.Order
+	for _, o := range open {
+		if still[o.ID] = told[o.ID]; !told[o.ID] {
+			news = append(news, o)
+		}
+	}
+	clear(told)
+	if len(news) > 0 {
+		call, cancel := context.WithTimeout(ctx, spreadLimit)
+		err := send(call, news)
+		cancel()
+		if err != nil {
+			a.cfg.Counters.Add("orders_unheard_"+id, 1)
+		}
+		for _, o := range news {
+			still[o.ID] = err == nil
+		}
+	}
+	for o, heard := range still {
+		if heard {
+			told[o] = true
+		}
+	}
+}
+
+// propose asks the log to settle what is open, where this instance leads.
+func (a *Agreement) propose(open []facts.Order) {
+	if !a.log.Leads() {
+		return
+	}
+	for _, o := range open {
+		r, err := a.log.Command(config.Command{Kind: config.Restrict, Order: &o})
+		if err != nil {
+			a.cfg.Counters.Add("orders_not_proposed", 1)
+			return // no majority now: asked again
+		}
+		if r.Reason != config.Done && r.Reason != config.Decided {
+			event.OrderWithdrawn.Log(o.ID, o.Server, o.Kind, string(r.Reason))
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,7 +46,7 @@
 	Config   configCommands  `cmd:"" help:"Settings."`
 	Status   statusCommand   `cmd:"" help:"How the coordinator stands."`
 	Top      topCommand      `cmd:"" help:"A live view: service by class, servers, slices, bodies, store."`
-	Servers  serversCommand  `cmd:"" help:"What the coordinator believes of the league servers."`
+	Servers  serverCommands  `cmd:"" help:"League servers: what is believed of them; drain, undrain, remove, weight, add."`
 	Drain    drainCommand    `cmd:"" help:"Empty the coordinator: its clients are led elsewhere."`
 	Activate activateCommand `cmd:"" help:"Take clients again."`
 	Slices   sliceCommands   `cmd:"" help:"Slices: show, split, move, merge, abandon, resume, watch."`
--- a/internal/cli/look.go
+++ b/internal/cli/look.go
@@ -65,6 +65,16 @@
 	return fmt.Sprintf("%d B", n)
 }
 
+type serverCommands struct {
+	List    serversCommand `cmd:"" default:"withargs" help:"What the coordinator believes of the league servers."`
+	Agreed  agreedCommand  `cmd:"" help:"What instances agree on of servers, and what is not settled yet."`
+	Drain   orderCommand   `cmd:"" help:"Take a server out of service: here at once, everywhere it is heard, for good once a majority has it."`
+	Undrain orderCommand   `cmd:"" help:"Bring it back, once a majority has it."`
+	Remove  orderCommand   `cmd:"" help:"Take it away for good, as drain; its id never comes back."`
+	Weight  weightCommand  `cmd:"" help:"Set its weight; 0 is discovery's."`
+	Add     addCommand     `cmd:"" help:"Add a server that discovery need not know."`
+}
+
 type serversCommand struct{}
 
 // Run shows what the module believes of the servers.
--- a/internal/config/facts/facts.go
+++ b/internal/config/facts/facts.go
@@ -25,16 +25,29 @@
 	return [...]string{"none", "draining", "removed"}[min(r, Removed)]
 }
 
+// MarshalText is the restriction's name.
+func (r Restriction) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText reads a name.
+func (r *Restriction) UnmarshalText(text []byte) error {
+	for *r = None; *r <= Removed; *r++ {
+		if r.String() == string(text) {
+			return nil
+		}
+	}
+	return fmt.Errorf("facts: no restriction %.20q", text)
+}
+
 // Origin is one process of an instance. Boot grows from one process to the next.
 type Origin struct {
-	Instance string `cbor:"1,keyasint"`
-	Boot     uint64 `cbor:"2,keyasint"`
+	Instance string `cbor:"1,keyasint" json:"instance"`
+	Boot     uint64 `cbor:"2,keyasint" json:"boot"`
 }
 
 // ID names an order; it is never used again. Seq counts from 1.
 type ID struct {
-	Origin Origin `cbor:"1,keyasint"`
-	Seq    uint64 `cbor:"2,keyasint"`
+	Origin Origin `cbor:"1,keyasint" json:"origin"`
+	Seq    uint64 `cbor:"2,keyasint" json:"seq"`
 }
 
 // String words an id.
@@ -48,10 +61,10 @@
 
 // Order takes a server out of service.
 type Order struct {
-	ID     ID          `cbor:"1,keyasint"`
-	Server string      `cbor:"2,keyasint"`
-	Kind   Restriction `cbor:"3,keyasint"`
-	Force  bool        `cbor:"4,keyasint,omitempty"` // also where it leaves a slice without a holder
+	ID     ID          `cbor:"1,keyasint" json:"id"`
+	Server string      `cbor:"2,keyasint" json:"server"`
+	Kind   Restriction `cbor:"3,keyasint" json:"kind"`
+	Force  bool        `cbor:"4,keyasint,omitempty" json:"force,omitempty"` // also where it leaves a slice without a holder
 }
 
 const (
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"linkpass/internal/agree"
 	"linkpass/internal/catalog"
 	"linkpass/internal/event"
 	"linkpass/internal/http1"
@@ -141,6 +142,8 @@
 	Activate() string
 	Settings() []Setting
 	Layouts() []IndexLayout
+	Agreed() (Agreed, error)
+	ServerOrder(ServerOrder) (Ordered, error)
 	Reload() (Reloaded, error)
 	Store() *store.Store   // nil: there is none
 	Search() http1.Handler // nil: there is none
@@ -174,6 +177,14 @@
 			return fail(503, err)
 		}
 		return reply(list)
+	case "GET servers/agreed":
+		told, err := h.Agreed()
+		if err != nil {
+			return storeFail(err)
+		}
+		return reply(told)
+	case "PUT servers/order":
+		return h.order(req)
 	case "GET layouts":
 		return reply(h.Layouts())
 	case "PUT drain":
@@ -293,6 +304,10 @@
 	if errors.As(err, &other) {
 		return fail(421, fmt.Errorf("%w; ask there", err))
 	}
+	var refused *agree.Refused
+	if errors.As(err, &refused) || errors.Is(err, ErrNoStore) {
+		return fail(409, err)
+	}
 	return fail(503, err)
 }
 
--- /dev/null
+++ b/internal/daemon/agree.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"linkpass/internal/agree"
+	"linkpass/internal/config"
+	"linkpass/internal/config/facts"
+	"linkpass/internal/control"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/discovery"
+	"linkpass/internal/http1"
+	"linkpass/internal/store"
+)
+
+// ordersPath is where instances tell each other of orders, beside the log.
+const ordersPath = "/_linkpass/orders"
+
+// openAgreement makes what keeps the list by discovery and by what instances agree on; without a store there is none.
+func (p *Program) openAgreement() error {
+	c := p.cfg.Search.Store
+	if p.cfg.Search.Listen == "" || c.ID == "" {
+		return nil
+	}
+	reader := p.listReader()
+	spread := map[string]func(context.Context, []facts.Order) error{}
+	for _, m := range c.Members {
+		if m.ID != c.ID {
+			spread[m.ID] = tellOrders(c.ID, m.HTTP)
+		}
+	}
+	p.agreement = agree.New(agree.Config{Me: c.ID, Boot: uint64(time.Now().UnixNano()), Next: p.listeners().List, Spread: spread, Counters: p.count,
+		Member: func(id string, s config.Spec) (coordinator.Member, error) {
+			l, err := reader.List(discovery.Document{Servers: []discovery.Server{{ID: id, Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: "in_service", Weight: 1}}})
+			if err != nil {
+				return coordinator.Member{}, err
+			}
+			return l.Members[0], nil
+		}})
+	return nil
+}
+
+func (p *Program) runAgreement(ctx context.Context) {
+	if p.agreement != nil {
+		p.agreement.Run(ctx)
+	}
+}
+
+// agreedList is the core as discovery's watcher sees it where instances agree on the list too.
+type agreedList struct {
+	*coordinator.Core
+	agreement *agree.Agreement
+}
+
+// List hands discovery's news to the agreement, which hands on the list's.
+func (l agreedList) List(news coordinator.List) { l.agreement.List(news) }
+
+// tellOrders makes what tells the instance at an address of orders.
+func tellOrders(me, addr string) func(context.Context, []facts.Order) error {
+	return func(ctx context.Context, orders []facts.Order) error {
+		body, err := json.Marshal(orders)
+		if err != nil {
+			return fmt.Errorf("orders: %w", err)
+		}
+		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return fmt.Errorf("orders: %w", err)
+		}
+		defer nc.Close()
+		if end, ok := ctx.Deadline(); ok {
+			if err := nc.SetDeadline(end); err != nil {
+				return fmt.Errorf("orders: %w", err)
+			}
+		}
+		if err := http1.WriteRequest(nc, "POST", ordersPath+"?from="+me, addr, nil, body); err != nil {
+			return fmt.Errorf("orders: %w", err)
+		}
+		res, err := http1.NewReader(nc, 0).Response()
+		if err == nil && res.Status != 200 {
+			err = fmt.Errorf("status %d", res.Status)
+		}
+		if err != nil {
+			return fmt.Errorf("orders: %s: %w", addr, err)
+		}
+		return nil
+	}
+}
+
+const maxOrdersBody = 64 << 10 // bytes of one call
+
+// hearing is the search front, and beside it what other instances call.
+func (p *Program) hearing(front http1.Handler) http1.Handler {
+	return http1.HandlerFunc(func(ctx context.Context, began time.Duration, req *http1.Request) *http1.Response {
+		if req.Path != ordersPath || p.agreement == nil {
+			return front.Serve(ctx, began, req)
+		}
+		var orders []facts.Order
+		err := json.Unmarshal(req.Body, &orders)
+		if req.Method != "POST" || err != nil || len(req.Body) > maxOrdersBody || len(orders) > facts.MaxHeard {
+			p.count.Add("orders_bad", 1)
+			return &http1.Response{Status: 400, Body: []byte("these are no orders\n")}
+		}
+		from := "another instance"
+		if id, ok := cutFrom(req.Query); ok && p.isMember(id) {
+			from = id
+		}
+		if err := p.agreement.Hear(from, orders); err != nil {
+			return &http1.Response{Status: 503, Body: []byte(err.Error() + "\n")}
+		}
+		return &http1.Response{Status: 200}
+	})
+}
+
+func cutFrom(query string) (id string, ok bool) {
+	const key = "from="
+	if len(query) < len(key) || query[:len(key)] != key {
+		return "", false
+	}
+	return query[len(key):], true
+}
+
+func (p *Program) isMember(id string) bool {
+	for _, m := range p.cfg.Search.Store.Members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Agreed tells what is agreed of servers, and what is not settled yet.
+func (p *Program) Agreed() (out control.Agreed, err error) {
+	st := p.Store()
+	if st == nil {
+		return out, control.ErrNoStore
+	}
+	s := st.State()
+	out.Version, out.Servers = s.Version(), map[string]config.Server{}
+	for _, id := range s.Servers() {
+		out.Servers[id], _ = s.Server(id)
+	}
+	out.Removed, out.Withdrawn, out.Unsettled = s.Gone(), s.Withdrawn(), p.agreement.Unsettled()
+	if out.Hash, err = s.Hash(); err != nil {
+		return out, err
+	}
+	return out, nil
+}
+
+// ServerOrder does what an operator wants of a server. Drains and removals hold here at once and wait for nobody; all else
+// holds once a majority has it.
+func (p *Program) ServerOrder(o control.ServerOrder) (out control.Ordered, err error) {
+	st := p.Store()
+	if st == nil {
+		return out, control.ErrNoStore
+	}
+	c := config.Command{Server: o.Server, Client: o.Client, Seq: o.Seq, If: o.If}
+	switch o.Verb {
+	case "drain", "remove":
+		kind := facts.Draining
+		if o.Verb == "remove" {
+			kind = facts.Removed
+		}
+		order, err := p.agreement.Restrict(o.Server, kind, o.Force)
+		if err != nil {
+			return out, err
+		}
+		return control.Ordered{Holds: "here, and wherever it is heard; the log settles it", Order: order.ID.String()}, nil
+	case "undrain":
+		c.Kind = config.Undrain
+		for _, open := range p.agreement.Unsettled() {
+			if open.Server == o.Server && open.Kind == facts.Draining {
+				c.Names = append(c.Names, open.ID)
+			}
+		}
+	case "add", "change":
+		if c.Kind = config.AddServer; o.Verb == "change" {
+			c.Kind = config.ChangeServer
+		}
+		c.Spec = o.Spec
+		if o.Spec != nil && o.Spec.Cell >= p.cfg.module.Cells {
+			return out, &agree.Refused{Result: config.Result{Reason: config.Malformed, Detail: fmt.Sprintf("there are %d cells", p.cfg.module.Cells)}}
+		}
+	case "weight":
+		c.Kind, c.Weight = config.SetWeight, o.Weight
+	default:
+		return out, &agree.Refused{Result: config.Result{Reason: config.Malformed, Detail: fmt.Sprintf("no such order: %.40q", o.Verb)}}
+	}
+	r, err := st.Command(c)
+	var other *store.NotLeader
+	if err == nil && r.Reason != config.Done {
+		err = &agree.Refused{Result: r}
+	} else if errors.As(err, &other) {
+		err = fmt.Errorf("%w; ask there", err)
+	}
+	return control.Ordered{Holds: "everywhere", Version: r.Version, Bare: r.Bare}, err
+}
--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -163,13 +163,14 @@
 	answers := opensearch.FixedSettings(p.fixed.Load)
 	if p.cfg.Search.Store.ID != "" {
 		c := p.cfg.Search.Store
-		c.Initial, c.Changed = initial, p.layouts.take
+		c.Initial, c.Changed, c.Applied = initial, p.layouts.take, p.agreement.Applied
 		s, err := store.Open(c)
 		if err != nil {
 			return nil, err
 		}
 		p.store = s
 		p.opened.Store(s)
+		p.agreement.Open(s)
 		p.settle(s.Current)
 		answers = opensearch.StoreSettings(s)
 	}
@@ -189,7 +190,7 @@
 		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: p.cfg.module.Classes[i].Deadline,
 			Worth: p.cfg.module.Classes[i].Worth})
 	}
-	e := p.add("search", ln, front)
+	e := p.add("search", ln, p.hearing(front))
 	e.server.MaxBody = Keys.Int("bodies.max_body_kib", p.cfg.Search.Bodies.MaxKiB) << 10
 	if p.bodies != nil {
 		e.server.Spools = p.spools
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"linkpass/internal/agree"
 	"linkpass/internal/bodies"
 	"linkpass/internal/bodies/tier"
 	"linkpass/internal/catalog"
@@ -58,6 +59,7 @@
 	opened     atomic.Pointer[store.Store]
 	layouts    *layouts
 	steward    *steward.Steward // of the layouts; nil: no store
+	agreement  *agree.Agreement // on servers; nil: no store
 	bodies     *bodies.Store
 	roster     roster
 	began      time.Time
@@ -254,7 +256,8 @@
 		{Name: "bodies", Needs: []string{"core"}, Open: p.openBodies, Close: p.closeBodies},
 		{Name: "links", Needs: []string{"core"}, Open: p.openLinks, Close: func() error { p.links.Close(); return nil }},
 		{Name: "layouts", Needs: []string{"core"}, Open: p.openLayouts, Run: p.runSteward},
-		{Name: "discovery", Needs: []string{"links", "layouts"}, Open: p.openDiscovery, Run: func(ctx context.Context) { p.watcher.Run(ctx, p.cfg.known) }},
+		{Name: "agreement", Needs: []string{"links", "layouts"}, Open: p.openAgreement, Run: p.runAgreement},
+		{Name: "discovery", Needs: []string{"agreement"}, Open: p.openDiscovery, Run: func(ctx context.Context) { p.watcher.Run(ctx, p.cfg.known) }},
 		p.platformPart(),
 		p.doorPart(),
 		p.searchPart(),
@@ -289,13 +292,25 @@
 	return nil
 }
 
-func (p *Program) openDiscovery() error {
+// listeners are all who follow the list of servers, the core last.
+func (p *Program) listeners() listTee {
 	list := listTee{p.core, []listener{&p.roster}}
 	if p.steward != nil {
 		list.others = append(list.others, p.steward)
 	}
-	p.watcher = discovery.NewWatcher(p.cfg.discovery, &discovery.Reader{Zones: p.cfg.host.Zones, Kinds: p.cfg.host.Kinds,
-		Cells: p.cfg.module.Cells, Clock: p.core.Clock}, list, p.count)
+	return list
+}
+
+func (p *Program) listReader() *discovery.Reader {
+	return &discovery.Reader{Zones: p.cfg.host.Zones, Kinds: p.cfg.host.Kinds, Cells: p.cfg.module.Cells, Clock: p.core.Clock}
+}
+
+func (p *Program) openDiscovery() error {
+	var list discovery.Core = p.listeners()
+	if p.agreement != nil {
+		list = agreedList{p.core, p.agreement}
+	}
+	p.watcher = discovery.NewWatcher(p.cfg.discovery, p.listReader(), list, p.count)
 	p.watcher.Seed = p.cfg.seed
 	return nil
 }
--- a/internal/event/registry.go
+++ b/internal/event/registry.go
@@ -29,6 +29,10 @@
 	StoreHalted = register("store", "store_halted", "index err", hclog.Error,
 		"an entry of the store is of a later program; this instance takes no further one, what held goes on holding here",
 		"bring this instance to the others' version and restart it; searches go on meanwhile")
+	OrderHeard = register("store", "order_heard", "order server kind from", hclog.Info,
+		"a drain or a removal of a league server holds here from now on, before the log has it", "nothing; see [raft.md](raft.md)")
+	OrderWithdrawn = register("store", "order_withdrawn", "order server kind why", hclog.Warn,
+		"the log did not take an order; it no longer holds anywhere", "see why; order it again, with force if it is meant")
 	Failed = register("daemon", "failed", "err", hclog.Error,
 		"the program could not start, or ended with an error; exit code 1",
 		"most often an address in use or a store's directory that can't be written")
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -2,20 +2,25 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"linkpass/internal/agree"
+	"linkpass/internal/config"
 	"linkpass/internal/control"
 	"linkpass/internal/event"
 	"linkpass/internal/http1"
 	"linkpass/internal/standin"
+	"linkpass/internal/store"
 )
 
 // A short run of the experiment keeps every rule and leaves its tables and its chart. How fast it
@@ -169,3 +174,100 @@
 	t.Cleanup(w.close)
 	return w
 }
+
+// holds waits until instances believe a server to be in a state, and nothing is left to settle if that is asked for.
+func holds(t *testing.T, nodes []*node, server, state string, settled bool) {
+	t.Helper()
+	for _, n := range nodes {
+		for {
+			list, err := n.p.Servers()
+			a, err2 := n.p.Agreed()
+			at := slices.IndexFunc(list, func(s control.Server) bool { return s.Name == server })
+			if err == nil && err2 == nil && (at < 0 && state == "gone" || at >= 0 && list[at].State == state) && (!settled || len(a.Unsettled) == 0) {
+				break
+			}
+			if t.Context().Err() != nil {
+				t.Fatal(server, "is not", state)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+// A drain ordered at any instance holds there at once and everywhere soon, and is settled; one that would leave slices bare
+// is refused; an undrain holds once a majority has it; a removed server stays away. Without a majority a drain still holds
+// where it is heard, and an undrain is refused.
+func TestDrainsWithAndWithoutAMajority(t *testing.T) {
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
+	t.Setenv("TMPDIR", t.TempDir())
+	w := cluster(t, 13, 3)
+	order := func(n *node, verb, server string, force bool) error {
+		_, err := n.p.ServerOrder(control.ServerOrder{Server: server, Verb: verb, Force: force})
+		return err
+	}
+	byLeader := func(verb, server string) {
+		t.Helper()
+		for i := 0; ; i++ {
+			var other *store.NotLeader
+			if err := order(w.nodes[i%3], verb, server, false); err == nil {
+				return
+			} else if !errors.As(err, &other) && !errors.Is(err, store.ErrNoLeader) || t.Context().Err() != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	byLeader("weight", "s-03") // the settings are agreed from here on
+	for i, n := range w.nodes {
+		if err := order(n, "drain", "s-01", false); err != nil {
+			t.Fatal(i, err)
+		}
+		holds(t, w.nodes[i:i+1], "s-01", "draining", false)
+		holds(t, w.nodes, "s-01", "draining", true)
+		byLeader("undrain", "s-01")
+		holds(t, w.nodes, "s-01", "in_service", true)
+	}
+	if err := order(w.nodes[0], "drain", "s-01", false); err != nil {
+		t.Fatal(err)
+	}
+	holds(t, w.nodes, "s-01", "draining", true)
+	var refused *agree.Refused
+	if err := order(w.nodes[1], "drain", "s-02", false); !errors.As(err, &refused) || refused.Reason != config.Bare {
+		t.Errorf("the last holder was drained: %v", err)
+	}
+	if err := order(w.nodes[1], "remove", "s-02", true); err != nil {
+		t.Fatal(err)
+	}
+	holds(t, w.nodes, "s-02", "gone", true)
+	if err := order(w.nodes[2], "drain", "s-02", true); !errors.As(err, &refused) || refused.Reason != config.WasGone {
+		t.Errorf("what was removed was drained: %v", err)
+	}
+	hashes := map[string]bool{}
+	for _, n := range w.nodes {
+		a, err := n.p.Agreed()
+		if err != nil {
+			t.Fatal(err)
+		}
+		hashes[fmt.Sprint(a.Version, a.Hash)] = true
+	}
+	if len(hashes) > 1 {
+		t.Errorf("states differ: %v", hashes)
+	}
+	for _, n := range w.nodes[1:] {
+		n.stop()
+		<-n.done
+		n.done <- nil // for the world's own end
+	}
+	if err := order(w.nodes[0], "drain", "s-03", false); err != nil {
+		t.Fatal(err)
+	}
+	holds(t, w.nodes[:1], "s-03", "draining", false)
+	if err := order(w.nodes[0], "undrain", "s-03", false); err == nil {
+		t.Error("an undrain held without a majority")
+	}
+	if a, err := w.nodes[0].p.Agreed(); err != nil || len(a.Unsettled) != 1 {
+		t.Errorf("%+v %v", a.Unsettled, err)
+	}
+	holds(t, w.nodes[:1], "s-03", "draining", false)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,6 +43,8 @@
 	// Changed is called with each document that takes hold, one after another; it
 	// should not wait for long.
 	Changed func(*catalog.Catalog) `toml:"-"`
+	// Applied is called after each entry and snapshot that this instance has taken; it should not wait for long.
+	Applied func() `toml:"-"`
 	// Listener takes the place of one on this member's address, if set.
 	Listener net.Listener `toml:"-"`
 }
@@ -98,7 +100,7 @@
 			*d = time.Duration(c.Pace * float64(*d))
 		}
 	}
-	s := &Store{config: c, machine: &machine{changed: c.Changed}}
+	s := &Store{config: c, machine: &machine{changed: c.Changed, applied: c.Applied}}
 	initial := c.Initial
 	if initial == nil {
 		initial = &catalog.Catalog{}
@@ -358,6 +360,7 @@
 	current atomic.Pointer[config.State]
 	halted  atomic.Pointer[error] // why it takes no more entries; nil: it does
 	changed func(*catalog.Catalog)
+	applied func()
 }
 
 // set publishes a state.
@@ -367,6 +370,9 @@
 	if m.changed != nil && s.Settings() != was.Settings() {
 		m.changed(s.Settings())
 	}
+	if m.applied != nil {
+		m.applied()
+	}
 }
 
 // Apply takes one entry. One that this program does not know ends its part in the store: to go on without it would be to
