--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -14,7 +14,7 @@
 var (
 	inline  = regexp.MustCompile("`(?:bin/)?linkpass ([^`]*)`")
 	block   = regexp.MustCompile(`(?m)^    (?:bin/)?linkpass ([^#\n]*)`)
-	samples = strings.NewReplacer("[", "", "]", "", "…", "", "INDEX", "players", "SERVER", "s-01", "SLICE", "7", "PLAN", "1", "FILE", "docs_test.go", "KEY", "k", "VALUE", "1",
+	samples = strings.NewReplacer("[", "", "]", "", "…", "", "INDEX", "players", "SERVER", "s-01", "KIND", "lease", "SLICE", "7", "PLAN", "1", "FILE", "docs_test.go", "KEY", "k", "VALUE", "1",
 		"PART LEVEL", "peer warn", "BACKUP", "docs_test.go", " N", " 2", "ID", "x", `\|`, "|")
 )
 
--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -9,8 +9,10 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"linkpass/internal/control"
+	"linkpass/internal/store"
 )
 
 type storeCommands struct {
@@ -64,14 +66,16 @@
 }
 
 type storeGet struct {
-	Key   string `arg:"" optional:"" help:"Dotted, as in search.max_result_window; the whole document if missing."`
-	Local bool   `help:"What this instance has, confirmed or not."`
+	Key    string        `arg:"" optional:"" help:"Dotted, as in search.max_result_window; the whole document if missing."`
+	Local  bool          `help:"What this instance has, confirmed or not; the same as --read local."`
+	Read   string        `help:"linearizable: a majority confirms it; lease: the leader trusts its lease; stale: any instance that heard the leader within --max-age; local." enum:"linearizable,lease,stale,local" default:"linearizable"`
+	MaxAge time.Duration `help:"Of a stale read." default:"5s"`
 }
 
-func (e *env) document(local bool) (any, error) {
-	path := "/store/document"
-	if local {
-		path += "?local=true"
+func (e *env) document(read string, maxAge time.Duration) (any, error) {
+	path := "/store/document?read=" + read
+	if read == store.Stale {
+		path += "&max_age=" + maxAge.String()
 	}
 	var doc any
 	err := e.client.Call("GET", path, nil, &doc)
@@ -80,7 +84,10 @@
 
 // Run prints the document or a part of it, always as JSON: it has no other shape.
 func (c storeGet) Run(e *env) error {
-	doc, err := e.document(c.Local)
+	if c.Local {
+		c.Read = store.Local
+	}
+	doc, err := e.document(c.Read, c.MaxAge)
 	if err != nil {
 		return err
 	}
@@ -127,13 +134,13 @@
 
 // Run compares two documents key by key. Exit code 1: they differ.
 func (c storeDiff) Run(e *env) error {
-	now, err := e.document(false)
+	now, err := e.document(store.Linearizable, 0)
 	if err != nil {
 		return err
 	}
 	var other any
 	if c.File == "" {
-		if other, err = e.document(true); err != nil {
+		if other, err = e.document(store.Local, 0); err != nil {
 			return err
 		}
 	} else {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net/textproto"
+	"net/url"
 	"strings"
 	"time"
 
@@ -234,12 +235,17 @@
 	if req.Method == "PUT" {
 		return restore(s, req)
 	}
-	local := strings.Contains(req.Query, "local=true")
-	c, err := s.Current(), error(nil)
-	if !local {
-		if c, err = s.Read(); err != nil {
-			return storeFail(err)
-		}
+	params, err := url.ParseQuery(req.Query)
+	if err != nil {
+		return fail(400, err)
+	}
+	how, err := store.ParseReading(params)
+	if err != nil {
+		return fail(400, err)
+	}
+	c, err := s.ReadAs(how)
+	if err != nil {
+		return storeFail(err)
 	}
 	data, err := json.Marshal(c)
 	if err != nil {
--- a/internal/opensearch/opensearch_test.go
+++ b/internal/opensearch/opensearch_test.go
@@ -256,8 +256,12 @@
 	patch string
 }
 
-func (r *replicated) Current() *catalog.Catalog       { return settings() }
-func (r *replicated) Read() (*catalog.Catalog, error) { return settings(), r.err }
+func (r *replicated) ReadAs(how store.Reading) (*catalog.Catalog, error) {
+	if how.Kind == store.Local {
+		return settings(), nil
+	}
+	return settings(), r.err
+}
 func (r *replicated) Change(p []byte) (*catalog.Catalog, error) {
 	r.patch = string(p)
 	return settings(), r.err
--- a/internal/opensearch/settings.go
+++ b/internal/opensearch/settings.go
@@ -16,8 +16,7 @@
 
 // Replicated is the settings' store.
 type Replicated interface {
-	Current() *catalog.Catalog
-	Read() (*catalog.Catalog, error)
+	ReadAs(store.Reading) (*catalog.Catalog, error)
 	Change(patch []byte) (*catalog.Catalog, error)
 }
 
@@ -31,10 +30,11 @@
 		}
 		switch req.Method {
 		case "GET":
-			if params.Get("local") == "true" {
-				return settingsResponse(s.Current(), false)
+			how, err := store.ParseReading(params)
+			if err != nil {
+				return errorResponse(badRequest("illegal_argument_exception", err.Error()))
 			}
-			c, err := s.Read()
+			c, err := s.ReadAs(how)
 			if err != nil {
 				return storeError(err, "/_cluster/settings")
 			}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -76,7 +76,8 @@
 	bolt    *raftboltdb.BoltStore
 	machine *machine
 
-	changing sync.Mutex // one change after another, each upon the last
+	barred   atomic.Uint64 // the term in which all of the terms before it was applied
+	changing sync.Mutex    // one change after another, each upon the last
 }
 
 // Open starts an instance; one with no state of its own begins with the
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"path/filepath"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 
 // cluster is three instances on the loopback.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	members []Member
 	stores  []*Store // nil: down
@@ -28,7 +29,7 @@
 // pace keeps Raft's own limits short enough for a test; nothing is asserted on them.
 const pace = 0.2
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	c := &cluster{t: t, dir: t.TempDir(), stores: make([]*Store, 3)}
 	listeners := make([]net.Listener, 3)
 	for i := range 3 {
@@ -324,3 +325,60 @@
 		t.Errorf("%s, %+v", got.Agreed("s-9"), got.Withdrawn())
 	}
 }
+
+// Each kind of read gives what it promises and refuses what it cannot: at the leader, at a follower, and at those whom a
+// majority has left.
+func TestReads(t *testing.T) {
+	c := newCluster(t)
+	leader := c.change(window(7))
+	c.everywhere(7)
+	kinds := func(s *Store, age time.Duration) (out []error) {
+		for _, kind := range []string{Linearizable, Lease, Stale, Local} {
+			doc, err := s.ReadAs(Reading{kind, age})
+			if err == nil && doc.Window() != 7 {
+				err = fmt.Errorf("%s: window %d", kind, doc.Window())
+			}
+			out = append(out, err)
+		}
+		return out
+	}
+	var other *NotLeader
+	for i, s := range c.stores {
+		errs := kinds(s, time.Minute)
+		if i == leader {
+			if err := errors.Join(errs...); err != nil {
+				t.Error(err)
+			}
+		} else if !errors.As(errs[0], &other) || !errors.As(errs[1], &other) || errs[2] != nil || errs[3] != nil {
+			t.Errorf("a follower: %v", errs)
+		}
+	}
+	c.stop(leader)
+	alone := (leader + 1) % 3
+	c.stop((leader + 2) % 3)
+	c.until("a read that is too old", func() bool {
+		errs := kinds(c.stores[alone], 20*time.Millisecond)
+		return errors.Is(errs[2], ErrStale) && errs[0] != nil && errs[1] != nil && errs[3] == nil
+	})
+	for _, bad := range []string{"read=soon", "read=stale&max_age=0s", "max_age=1s", "read=stale&max_age=x"} {
+		v, _ := url.ParseQuery(bad)
+		if r, err := ParseReading(v); err == nil {
+			t.Errorf("%s was taken: %+v", bad, r)
+		}
+	}
+}
+
+// What each kind of read costs at the leader of three on the loopback.
+func BenchmarkReads(b *testing.B) {
+	c := newCluster(b)
+	s := c.stores[c.change(window(7))]
+	for _, kind := range []string{Linearizable, Lease, Stale, Local} {
+		b.Run(kind, func(b *testing.B) {
+			for b.Loop() {
+				if _, err := s.ReadAs(Reading{kind, time.Minute}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
