Members of the store join as learners, are promoted once caught up, and leave

Need: an instance was added or taken away by stopping all and editing the file before the first start. Join, promote and leave go through the leader, may be asked again, and refuse what cannot be: an id at another address, a learner that is behind, a leave after which too few voters answer.

--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -11,12 +11,17 @@
 	"strings"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"linkpass/internal/control"
 	"linkpass/internal/store"
 )
 
 type storeCommands struct {
 	Members storeMembers `cmd:"" help:"The instances of the store."`
+	Join    storeJoin    `cmd:"" help:"Let a further instance learn; its file has store.join = true and names itself."`
+	Promote storeMember  `cmd:"" help:"Let an instance that has caught up vote."`
+	Leave   storeMember  `cmd:"" help:"Take an instance away, dead or alive."`
 	Leader  storeLeader  `cmd:"" help:"The leader's id; exit code 1 if none is known."`
 	Get     storeGet     `cmd:"" help:"The document, or what lies under a key, as a majority confirms it."`
 	Put     storePut     `cmd:"" help:"Change a key of the settings."`
@@ -65,6 +70,37 @@
 	return e.show(map[string]string{"leader": s.Store.Leader}, func(w io.Writer) { fmt.Fprintln(w, s.Store.Leader) })
 }
 
+type storeJoin struct {
+	ID   string `arg:"" help:"Its id, never used before."`
+	Raft string `arg:"" help:"Address of its Raft traffic."`
+	HTTP string `arg:"" help:"Address of its search front."`
+}
+
+// Run lets an instance learn.
+func (c storeJoin) Run(e *env) error {
+	return e.member(control.MemberOrder{Verb: "join", ID: c.ID, Raft: c.Raft, HTTP: c.HTTP})
+}
+
+type storeMember struct {
+	ID string `arg:"" help:"The instance's id."`
+}
+
+// Run gives the order that the command is named after.
+func (c storeMember) Run(e *env, ctx *kong.Context) error {
+	return e.member(control.MemberOrder{Verb: ctx.Selected().Name, ID: c.ID})
+}
+
+func (e *env) member(o control.MemberOrder) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("order: %w", err)
+	}
+	if err := e.client.Call("PUT", "/store/members", body, nil); err != nil {
+		return err
+	}
+	return e.show(o, func(w io.Writer) { fmt.Fprintf(w, "%s of %s is done\n", o.Verb, o.ID) })
+}
+
 type storeGet struct {
 	Key    string        `arg:"" optional:"" help:"Dotted, as in search.max_result_window; the whole document if missing."`
 	Local  bool          `help:"What this instance has, confirmed or not; the same as --read local."`
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -78,6 +78,8 @@
 		return s.set(c)
 	case Layout:
 		return s.advance(c)
+	case SetPeer, DropPeer:
+		return s.peer(c)
 	}
 	return refuse(Malformed, "command %d", c.Kind)
 }
@@ -210,6 +212,22 @@
 	return Result{}
 }
 
+// peer notes an instance's address, or forgets it.
+func (s *State) peer(c Command) Result {
+	_, known := s.peers[c.Server]
+	if c.Server == "" || c.Kind == SetPeer && (len(c.Text) == 0 || len(c.Text) > MaxName) {
+		return refuse(Malformed, "an instance needs an id and an address")
+	}
+	if c.Kind == SetPeer && !known && len(s.peers) >= MaxPeers {
+		return refuse(Full, "%d instances", MaxPeers)
+	}
+	s.peers = maps.Clone(s.peers)
+	if delete(s.peers, c.Server); c.Kind == SetPeer {
+		s.peers[c.Server] = string(c.Text)
+	}
+	return Result{}
+}
+
 // set changes the settings.
 func (s *State) set(c Command) Result {
 	if c.If != 0 && c.If != s.revised {
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -25,6 +25,8 @@
 	Patch    // a JSON merge patch of the settings
 	Document // the settings whole
 	Layout   // a step of an index's layout
+	SetPeer  // an instance of the store: Server is its id, Text its address for clients
+	DropPeer
 	kinds
 )
 
@@ -86,6 +88,7 @@
 	MaxClients   = 1024    // whose last command is remembered
 	MaxServers   = 10_000
 	MaxGone      = 100_000 // removed ids
+	MaxPeers     = 32      // instances whose address is kept
 	MaxWithdrawn = 256     // last withdrawals that are told
 	MaxBareTold  = 16      // slices named in a result
 	MaxName      = 128     // bytes of a client's or server's name
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -43,13 +43,14 @@
 	sessions  map[string]session
 	settled   facts.Settled
 	withdrawn []Withdrawn
+	peers     map[string]string // addresses of instances that joined, for clients
 	settings  *catalog.Catalog
 	revised   uint64 // version at the last change of the settings
 }
 
 // New is the state before the first command, with the settings that an instance's file names.
 func New(settings *catalog.Catalog) *State {
-	return &State{servers: map[string]Server{}, gone: map[string]bool{}, sessions: map[string]session{}, settings: settings}
+	return &State{servers: map[string]Server{}, gone: map[string]bool{}, sessions: map[string]session{}, peers: map[string]string{}, settings: settings}
 }
 
 // Founded tells whether settings were agreed at all: until then each instance has those of its file.
@@ -73,6 +74,9 @@
 // Gone are the removed ids.
 func (s *State) Gone() []string { return slices.Sorted(maps.Keys(s.gone)) }
 
+// Peer is the address for clients of an instance that joined in service.
+func (s *State) Peer(id string) (addr string, ok bool) { addr, ok = s.peers[id]; return addr, ok }
+
 // Settled is what the log has decided of orders.
 func (s *State) Settled() facts.Settled { return s.settled }
 
@@ -97,6 +101,7 @@
 	Withdrawn []Withdrawn        `cbor:"6,keyasint"`
 	Settings  []byte             `cbor:"7,keyasint"`
 	Revised   uint64             `cbor:"8,keyasint"`
+	Peers     map[string]string  `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot words the state; equal states give equal bytes.
@@ -105,7 +110,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: snapshot: %w", err)
 	}
-	data, err := encoding.Marshal(document{s.version, s.servers, s.Gone(), s.sessions, s.settled.Marks(), s.withdrawn, settings, s.revised})
+	data, err := encoding.Marshal(document{s.version, s.servers, s.Gone(), s.sessions, s.settled.Marks(), s.withdrawn, settings, s.revised, s.peers})
 	if err != nil {
 		return nil, fmt.Errorf("config: snapshot: %w", err)
 	}
@@ -129,6 +134,7 @@
 	s.version, s.withdrawn, s.revised, s.settled = d.Version, d.Withdrawn, d.Revised, facts.FromMarks(d.Settled)
 	maps.Copy(s.servers, d.Servers)
 	maps.Copy(s.sessions, d.Sessions)
+	maps.Copy(s.peers, d.Peers)
 	for _, id := range d.Gone {
 		s.gone[id] = true
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -144,6 +144,7 @@
 	Settings() []Setting
 	Layouts() []IndexLayout
 	Agreed() (Agreed, error)
+	MemberOrder(MemberOrder) error
 	ServerOrder(ServerOrder) (Ordered, error)
 	Reload() (Reloaded, error)
 	Store() *store.Store   // nil: there is none
@@ -186,6 +187,8 @@
 		return reply(told)
 	case "PUT servers/order":
 		return h.order(req)
+	case "PUT store/members":
+		return h.member(req)
 	case "GET layouts":
 		return reply(h.Layouts())
 	case "PUT drain":
@@ -311,7 +314,8 @@
 		return fail(421, fmt.Errorf("%w; ask there", err))
 	}
 	var refused *agree.Refused
-	if errors.As(err, &refused) || errors.Is(err, ErrNoStore) {
+	if errors.As(err, &refused) || errors.Is(err, ErrNoStore) ||
+		errors.Is(err, store.ErrMember) || errors.Is(err, store.ErrMajority) || errors.Is(err, store.ErrBehind) {
 		return fail(409, err)
 	}
 	return fail(503, err)
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -55,3 +55,23 @@
 	}
 	return reply(told)
 }
+
+// MemberOrder changes the instances of the store.
+type MemberOrder struct {
+	Verb string `json:"verb"` // join, promote, leave
+	ID   string `json:"id"`
+	Raft string `json:"raft,omitempty"` // address of its Raft traffic, to join
+	HTTP string `json:"http,omitempty"` // address of its search front, to join
+}
+
+// member takes one such order.
+func (h Handler) member(req *http1.Request) *http1.Response {
+	var o MemberOrder
+	if err := json.Unmarshal(req.Body, &o); err != nil {
+		return fail(400, fmt.Errorf("an order: %w", err))
+	}
+	if err := h.MemberOrder(o); err != nil {
+		return storeFail(err)
+	}
+	return reply(o)
+}
--- a/internal/daemon/agree.go
+++ b/internal/daemon/agree.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"linkpass/internal/agree"
@@ -21,6 +22,9 @@
 // ordersPath is where instances tell each other of orders, beside the log.
 const ordersPath = "/_linkpass/orders"
 
+// versionPath tells the version of the state as this instance has it.
+const versionPath = "/_linkpass/version"
+
 // openAgreement makes what keeps the list by discovery and by what instances agree on; without a store there is none.
 func (p *Program) openAgreement() error {
 	c := p.cfg.Search.Store
@@ -67,28 +71,64 @@
 		if err != nil {
 			return fmt.Errorf("orders: %w", err)
 		}
-		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-		if err != nil {
-			return fmt.Errorf("orders: %w", err)
+		_, err = callPeer(ctx, addr, "POST", ordersPath+"?from="+me, body)
+		return err
+	}
+}
+
+// callPeer makes one call at another instance within the context's time.
+func callPeer(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	defer nc.Close()
+	if end, ok := ctx.Deadline(); ok {
+		if err := nc.SetDeadline(end); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
 		}
-		defer nc.Close()
-		if end, ok := ctx.Deadline(); ok {
-			if err := nc.SetDeadline(end); err != nil {
-				return fmt.Errorf("orders: %w", err)
+	}
+	if err := http1.WriteRequest(nc, method, path, addr, nil, body); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	res, err := http1.NewReader(nc, 0).Response()
+	if err == nil && res.Status != 200 {
+		err = fmt.Errorf("status %d", res.Status)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s at %s: %w", path, addr, err)
+	}
+	return res.Body, nil
+}
+
+const memberLimit = 2 * time.Second // for a learner to say how far it is, and for members to answer
+
+// MemberOrder changes the instances of the store.
+func (p *Program) MemberOrder(o control.MemberOrder) error {
+	st := p.Store()
+	if st == nil {
+		return control.ErrNoStore
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), memberLimit)
+	defer cancel()
+	switch o.Verb {
+	case "join":
+		return st.Join(store.Member{ID: o.ID, Raft: o.Raft, HTTP: o.HTTP})
+	case "promote":
+		return st.Promote(o.ID, func(m store.Member, version uint64) error {
+			text, err := callPeer(ctx, m.HTTP, "GET", versionPath, nil)
+			if err != nil {
+				return err
 			}
-		}
-		if err := http1.WriteRequest(nc, "POST", ordersPath+"?from="+me, addr, nil, body); err != nil {
-			return fmt.Errorf("orders: %w", err)
-		}
-		res, err := http1.NewReader(nc, 0).Response()
-		if err == nil && res.Status != 200 {
-			err = fmt.Errorf("status %d", res.Status)
-		}
-		if err != nil {
-			return fmt.Errorf("orders: %s: %w", addr, err)
-		}
-		return nil
+			if has, err := strconv.ParseUint(string(text), 10, 64); err != nil || has < version {
+				return fmt.Errorf("it is at version %.20q of %d", text, version)
+			}
+			return nil
+		})
+	case "leave":
+		return st.Leave(ctx, o.ID)
 	}
+	return fmt.Errorf("%w: no such order: %.40q", store.ErrMember, o.Verb)
 }
 
 const maxOrdersBody = 64 << 10 // bytes of one call
@@ -96,6 +136,9 @@
 // hearing is the search front, and beside it what other instances call.
 func (p *Program) hearing(front http1.Handler) http1.Handler {
 	return http1.HandlerFunc(func(ctx context.Context, began time.Duration, req *http1.Request) *http1.Response {
+		if p.agreement != nil && req.Path == versionPath && req.Method == "GET" {
+			return &http1.Response{Status: 200, Body: strconv.AppendUint(nil, p.Store().State().Version(), 10)}
+		}
 		if req.Path != ordersPath || p.agreement == nil {
 			return front.Serve(ctx, began, req)
 		}
--- a/internal/daemon/schema.go
+++ b/internal/daemon/schema.go
@@ -52,6 +52,7 @@
 	{Name: "store.id", Type: schema.String, Doc: "this instance's id in the replicated store; empty: the store is off"},
 	{Name: "store.dir", Type: schema.String, Doc: "of its log, terms and snapshots"},
 	{Name: "store.pace", Type: schema.Float, Default: "1", Min: "0", Max: "100", Doc: "scales Raft's own time limits"},
+	{Name: "store.join", Type: schema.Bool, Default: "false", Doc: "an instance without state of its own waits until the others take it in (`linkpass store join n3 10.0.0.3:9300 10.0.0.3:9200`); of the members only its own line counts"},
 	{Name: "store.members.*.id", Type: schema.String, Doc: "an instance of the store"},
 	{Name: "store.members.*.raft", Type: schema.Address, Doc: "of its Raft traffic"},
 	{Name: "store.members.*.http", Type: schema.Address, Doc: "of its search front"},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -36,6 +36,9 @@
 	ID      string   `toml:"id"`
 	Dir     string   `toml:"dir"` // log, terms and snapshots
 	Members []Member `toml:"members"`
+	// Join: an instance without state of its own waits to be taken in by the others instead of beginning with Members, of
+	// which only its own line counts.
+	Join bool `toml:"join"`
 
 	Initial *catalog.Catalog `toml:"-"` // what holds until something is replicated; nil: nothing
 	// Pace scales Raft's own time limits, 1 being the library's defaults.
@@ -132,7 +135,7 @@
 	}
 	transport := raft.NewNetworkTransportWithLogger(stream{ln}, poolSize, applyLimit, logger)
 	old, err := raft.HasExistingState(s.bolt, s.bolt, snaps)
-	if err == nil && !old {
+	if err == nil && !old && !s.config.Join {
 		var members raft.Configuration
 		for _, m := range s.config.Members {
 			members.Servers = append(members.Servers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Raft)})
@@ -334,9 +337,13 @@
 	if s.raft.State() == raft.Leader {
 		return nil
 	}
-	_, id := s.raft.LeaderWithID()
-	if m, ok := s.config.member(string(id)); ok && m.ID != s.config.ID {
-		return &NotLeader{m}
+	addr, id := s.raft.LeaderWithID()
+	if id != "" && string(id) != s.config.ID {
+		m, _ := s.config.member(string(id))
+		if http, ok := s.State().Peer(string(id)); ok {
+			m.HTTP = http
+		}
+		return &NotLeader{Member{string(id), string(addr), m.HTTP}}
 	}
 	return ErrNoLeader
 }
@@ -474,8 +481,17 @@
 	return net.DialTimeout("tcp", string(addr), limit)
 }
 
-// Members are the instances that the store was told of.
-func (s *Store) Members() []Member { return s.config.Members }
+// Members are the instances by the log, or those of the file where it can't be read.
+func (s *Store) Members() (out []Member) {
+	peers, err := s.Peers()
+	if err != nil || len(peers) == 0 {
+		return s.config.Members
+	}
+	for _, p := range peers {
+		out = append(out, p.Member)
+	}
+	return out
+}
 
 // Leader is the id of the leader; "": none is known.
 func (s *Store) Leader() string {
