A store that has lost its majority for good is recovered by an operator's act, with a check

Need: two of three instances lost meant a new store by hand. linkpass store recover makes a stopped instance the only member with what its disk holds; it is refused while the instance runs, while another member takes a connection (unless forced), and without state.

--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"linkpass/internal/control"
+	"linkpass/internal/daemon"
 	"linkpass/internal/store"
 )
 
@@ -22,6 +24,7 @@
 	Join    storeJoin    `cmd:"" help:"Let a further instance learn; its file has store.join = true and names itself."`
 	Promote storeMember  `cmd:"" help:"Let an instance that has caught up vote."`
 	Leave   storeMember  `cmd:"" help:"Take an instance away, dead or alive."`
+	Recover storeRecover `cmd:"" help:"Make this stopped instance the only member of its store, where a majority is lost for good."`
 	Leader  storeLeader  `cmd:"" help:"The leader's id; exit code 1 if none is known."`
 	Get     storeGet     `cmd:"" help:"The document, or what lies under a key, as a majority confirms it."`
 	Put     storePut     `cmd:"" help:"Change a key of the settings."`
@@ -101,6 +104,26 @@
 	return e.show(o, func(w io.Writer) { fmt.Fprintf(w, "%s of %s is done\n", o.Verb, o.ID) })
 }
 
+type storeRecover struct {
+	OpenSearch string `name:"opensearch" help:"The operators' file of the stopped instance." default:"${search_file}"`
+	Force      bool   `help:"Although other members answer: two stores may then go on apart."`
+}
+
+// Run works on the files of an instance that is stopped; no coordinator is asked.
+func (c storeRecover) Run(e *env) error {
+	search, err := daemon.LoadSearch(c.OpenSearch)
+	if err != nil {
+		return err
+	}
+	r, err := store.Recover(context.Background(), search.Store, c.Force)
+	if err != nil {
+		return err
+	}
+	return e.show(r, func(w io.Writer) {
+		fmt.Fprintf(w, "%s is the only member now, at version %d, state %s\nno longer members: %s\n", search.Store.ID, r.Version, r.Hash, strings.Join(r.Dropped, ", "))
+	})
+}
+
 type storeGet struct {
 	Key    string        `arg:"" optional:"" help:"Dotted, as in search.max_result_window; the whole document if missing."`
 	Local  bool          `help:"What this instance has, confirmed or not; the same as --read local."`
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -440,6 +440,46 @@
 	c.until("the change at the fourth", func() bool { return fourth.Current().Window() == 9 })
 }
 
+// A majority that is lost for good: recovery is refused while the instance runs and while another member answers, and then
+// brings back alone all that this instance holds; others may join it again.
+func TestRecoveryFromALostMajority(t *testing.T) {
+	c := newCluster(t)
+	leader := c.change(window(7))
+	c.change(`{"servers":{"s-1":{"protocol":"search"}}}`)
+	c.everywhere(7)
+	left := (leader + 1) % 3
+	c.until("all of it at the one that is left", func() bool { return c.stores[left].Current().Protocol("s-1") == catalog.Search })
+	want, err := c.stores[left].State().Hash()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf := Config{ID: c.members[left].ID, Dir: filepath.Join(c.dir, c.members[left].ID), Members: c.members}
+	if _, err := Recover(t.Context(), conf, true); !errors.Is(err, ErrUnsafe) {
+		t.Errorf("while it runs: %v", err)
+	}
+	c.stop(left)
+	if _, err := Recover(t.Context(), conf, false); !errors.Is(err, ErrUnsafe) {
+		t.Errorf("while others answer: %v", err)
+	}
+	c.stop(leader)
+	c.stop((leader + 2) % 3)
+	r, err := Recover(t.Context(), conf, false)
+	if err != nil || r.Hash != want || len(r.Dropped) != 2 {
+		t.Fatalf("%+v %v, want %s", r, err, want)
+	}
+	c.open(left, nil)
+	c.change(window(9)) // it leads alone
+	if s := c.stores[left]; s.Current().Window() != 9 || s.Current().Protocol("s-1") != catalog.Search {
+		t.Errorf("%+v", s.Current())
+	}
+	if peers, err := c.stores[left].Peers(); err != nil || len(peers) != 1 {
+		t.Errorf("%v %v", peers, err)
+	}
+	if _, err := Recover(t.Context(), Config{ID: "x", Dir: t.TempDir(), Members: []Member{{ID: "x", Raft: "127.0.0.1:1"}}}, true); !errors.Is(err, ErrUnsafe) {
+		t.Errorf("from nothing: %v", err)
+	}
+}
+
 // What each kind of read costs at the leader of three on the loopback.
 func BenchmarkReads(b *testing.B) {
 	c := newCluster(b)
