--- a/internal/daemon/agree.go
+++ b/internal/daemon/agree.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -148,8 +149,13 @@
 			p.count.Add("orders_bad", 1)
 			return &http1.Response{Status: 400, Body: []byte("these are no orders\n")}
 		}
+		members := p.Store().Members()
+		known := len(orders)
+		// Guards the state against orders of instances that never were: what the log decides of each is kept.
+		orders = slices.DeleteFunc(orders, func(o facts.Order) bool { return !among(members, o.ID.Origin.Instance) })
+		p.count.Add("orders_bad", int64(known-len(orders)))
 		from := "another instance"
-		if id, ok := cutFrom(req.Query); ok && p.isMember(id) {
+		if id, ok := cutFrom(req.Query); ok && among(members, id) {
 			from = id
 		}
 		if err := p.agreement.Hear(from, orders); err != nil {
@@ -167,13 +173,8 @@
 	return query[len(key):], true
 }
 
-func (p *Program) isMember(id string) bool {
-	for _, m := range p.cfg.Search.Store.Members {
-		if m.ID == id {
-			return true
-		}
-	}
-	return false
+func among(members []store.Member, id string) bool {
+	return slices.ContainsFunc(members, func(m store.Member) bool { return m.ID == id })
 }
 
 // Agreed tells what is agreed of servers, and what is not settled yet.
--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"os"
@@ -17,8 +18,10 @@
 	"time"
 
 	"linkpass/internal/catalog"
+	"linkpass/internal/control"
 	"linkpass/internal/discovery"
 	"linkpass/internal/http1"
+	"linkpass/internal/operator"
 	"linkpass/internal/settings"
 	"linkpass/internal/store"
 )
@@ -777,3 +780,24 @@
 		t.Error("a directory was taken for a socket")
 	}
 }
+
+// Slow callers that hold every place of the door keep nobody out of the operators' API, nor for long out of the door.
+func TestStatusBesideAFloodedDoor(t *testing.T) {
+	socket := filepath.Join(t.TempDir(), "api.sock")
+	b := newBench(t, 3, func(c *Config) { c.operator, c.Search.Operator.Socket = "127.0.0.1:0", socket })
+	for range 3 * operator.MaxCallers {
+		nc, err := net.Dial("tcp", b.p.door.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		_, _ = io.WriteString(nc, "GET /v1/rea") // those that had to make room already can't
+	}
+	if s, err := (&control.Client{Socket: socket, Limit: 10 * time.Second}).Status(); err != nil || s.State != "serving" {
+		t.Errorf("%+v %v", s, err)
+	}
+	// A caller that has begun keeps its place for a second; then it gives way.
+	for connect(t, b.p.door.ln.Addr().String()).ask("GET", "/v1/readyz", "", nil).Status != 200 {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -228,6 +228,14 @@
 		byLeader("undrain", "s-01")
 		holds(t, w.nodes, "s-01", "in_service", true)
 	}
+	stranger := `[{"id":{"origin":{"instance":"nobody","boot":1},"seq":1},"server":"s-04","kind":"draining","force":true}]`
+	if status, body, err := w.ask(w.nodes[0], "POST", "/_linkpass/orders?from=n1", stranger); err != nil || status != 200 {
+		t.Errorf("%d %s %v", status, body, err)
+	}
+	if n := w.nodes[0].p.Counters().Get("orders_bad"); n != 1 {
+		t.Errorf("%d orders of no member were counted", n)
+	}
+	holds(t, w.nodes, "s-04", "in_service", true) // an instance that never was orders nothing
 	if err := order(w.nodes[0], "drain", "s-01", false); err != nil {
 		t.Fatal(err)
 	}
