--- a/beliefs.go
+++ b/beliefs.go
@@ -32,3 +32,17 @@
 	}
 	return out
 }
+
+// Listed counts the servers of the list, and those of them that are avoided now, not just for the moment
+// that a full one is left alone: they drain, are down, or look sick for every class and got no part lately.
+func (r *Router) Listed(now time.Duration) (known, avoided int) {
+	r.now = max(r.now, now)
+	listed := only(r.order, func(s *server) bool { return s.listed })
+	return len(listed), len(only(listed, func(s *server) bool {
+		sick, twins := s.out == 0 && r.now >= s.sentAt+aloneFor, r.replicas(s.entry.Cell%r.set.Shards)
+		for class := range s.health {
+			sick = sick && r.health(s, class) < suspectRatio*r.bestHealth(twins, class)
+		}
+		return sick || s.entry.State != Ready || s.down && r.now < s.fullUntil
+	}))
+}
