Reported service time counts as work, and a refusal asks only the shard in its way anew

Queries ended with a part dead at no=2: DBG tend why=spent age_ms=31 dead=77 tried=3 codes=[2 2 2] One coordinator of three meets a server every 50 ms and finds that out by its own parts; one of 300 meets it every 5 s.

At fault: work(), which counted requests and not the time that they take, and the age of a report, taken in the fleet's latencies and not the server's own; renew(), which asked for all parts. Work is now requests times the reported service time over the usual one (the median of what all servers report), and an old report fades as slowly as its server works. A refusal asks the replicas of the shard with the highest forecast alone.

--- a/router.go
+++ b/router.go
@@ -156,6 +156,7 @@
 	calls                map[*server]int // parts sent this turn
 	latency              []*window       // by class
 	all, replies         *window         // latencies of all classes; times of probe replies
+	service              *window         // reported service times, in ms
 	unit                 *window         // latency for each unit of work found at sending
 	values               *window         // worth for work of the queries that came
 	tenants              []*window       // queries that came, by tenant
@@ -178,7 +179,7 @@
 		parts: map[RequestID]*part{}, calls: map[*server]int{}, attempts: map[attemptKey]*attempt{},
 		holders: map[int][]*server{}, placed: map[int][]ServerID{},
 		all: newWindow(latencyWindow), replies: newWindow(latencyWindow),
-		unit: newWindow(latencyWindow), values: newWindow(latencyWindow),
+		service: newWindow(latencyWindow), unit: newWindow(latencyWindow), values: newWindow(latencyWindow),
 		latency:  newWindows(len(set.Classes), latencyWindow),
 		tenants:  newWindows(len(set.Tenants), tenantWindow),
 		arrivals: newWindow(cmp.Or(set.BudgetWindow, latencyWindow)),
@@ -351,7 +352,7 @@
 		limit *= admitTight / (1 + math.Log(float64(max(1, len(q.parts)))))
 	}
 	limit *= max(valueLeast, min(valueMost, value/r.values.middle(r.now, value)))
-	mean, worst := r.forecast(q)
+	mean, worst, hot := r.forecast(q)
 	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
 	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
 	hopeless := worst > hopelessShare*float64(q.class.Aim) || q.class.FetchParts > 0 || q.class.Stream
@@ -359,7 +360,9 @@
 		if crowded || mean > limit {
 			r.pressed = r.now // a shard that is hot or gone presses no other
 		}
-		r.renew(q)
+		// Or no new report would come. Hundreds of nodes that ask for all parts probe more than they send.
+		stale := time.Duration(reportStale * r.typical(q.Class))
+		r.probe(only(r.reachable(hot), func(s *server) bool { return r.now > s.reportAt+stale }), stale)
 		r.refuse(q, time.Duration(max(mean-limit, admitShare*limit)))
 	}
 }
@@ -379,11 +382,11 @@
 	return value
 }
 
-// forecast is the time that a query's parts would take now, on average and at worst. A shard's is the
+// forecast is the time that a query's parts would take now, on average, at worst, and where. A shard's is the
 // harmonic mean over its replicas, as they share its parts by how soon each is done: sick ones with long
 // queues cost their share of room, no more. A replica's is its work times what a unit of work took lately,
 // or twice the age of what is out there if that is more (reports may lag or lie).
-func (r *Router) forecast(q *query) (mean, worst float64) {
+func (r *Router) forecast(q *query) (mean, worst float64, hot int) {
 	unit := r.unit.middle(r.now, r.typical(q.Class))
 	waiting := float64(r.waiting) / float64(max(1, len(r.order))) // a burst is not out yet, but will be
 	for _, p := range q.parts {
@@ -394,14 +397,17 @@
 			rate += 1 / (pause + max(unit*(r.work(s)+waiting), ageFactor*age))
 			replicas++
 		}
+		each := replicas / rate
 		if replicas == 0 {
-			worst = math.Inf(1) // all are down or spent: nothing to wait for
+			each = math.Inf(1) // all are down or spent: nothing to wait for
 		} else {
-			worst = max(worst, replicas/rate)
-			mean += replicas / rate / float64(len(q.parts))
+			mean += each / float64(len(q.parts))
+		}
+		if each > worst {
+			worst, hot = each, p.shard
 		}
 	}
-	return mean, worst
+	return mean, worst, hot
 }
 
 // reachable lists the replicas that may take a part, but for those that lost probes in a row: cut links.
@@ -697,8 +703,12 @@
 		return
 	}
 	s.reportAt = r.now
-	if !slices.Equal(report, s.report) {
-		s.report, s.reportOut = append(s.report[:0], report...), s.out
+	if slices.Equal(report, s.report) {
+		return
+	}
+	s.report, s.reportOut = append(s.report[:0], report...), s.out
+	if each, ok := r.field(s, FieldServiceTime); ok && each > 0 {
+		r.service.add(r.now, each)
 	}
 }
 
@@ -724,12 +734,21 @@
 			hand = rate * each / 1000 // Little's law
 		}
 	}
-	age := float64(r.now-s.reportAt) / r.all.middle(r.now, float64(quietLatency))
-	load := max(0, hand-float64(s.reportOut))*math.Exp2(-age/reportHalf) + float64(s.out)
+	pace, age := r.pace(s), float64(r.now-s.reportAt)/r.all.middle(r.now, float64(quietLatency))
+	load := max(0, hand-float64(s.reportOut))*math.Exp2(-age/(reportHalf*pace)) + float64(s.out)
 	if r.set.Sized && s.entry.Weight > 0 {
-		return (load + 1) / s.entry.Weight
+		load = (load+1)/s.entry.Weight - 1
+	}
+	return (load + 1) * pace
+}
+
+// pace is how much longer than elsewhere a request takes at a server, by its report: what waits there waits
+// so much longer, and its report is outdated so much later. Less than the usual is chance.
+func (r *Router) pace(s *server) float64 {
+	if each, ok := r.field(s, FieldServiceTime); ok && each > 0 {
+		return max(1, each/r.service.middle(r.now, each))
 	}
-	return load + 1
+	return 1
 }
 
 // The race.
@@ -812,14 +831,6 @@
 	}
 }
 
-// renew asks for new reports in place of stale ones that had a query refused, or none would come.
-func (r *Router) renew(q *query) {
-	stale := time.Duration(reportStale * r.typical(q.Class))
-	for _, p := range q.parts {
-		r.probe(only(r.reachable(p.shard), func(s *server) bool { return r.now > s.reportAt+stale }), stale)
-	}
-}
-
 // probe asks those servers that were not asked within the time given, or this turn.
 func (r *Router) probe(list []*server, within time.Duration) {
 	for _, s := range list {
--- a/router_test.go
+++ b/router_test.go
@@ -776,6 +776,51 @@
 	expect[Probe](t, b.last, 3)
 }
 
+// Only what stood in the way is asked anew: in a fleet of hundreds the probes of all parts outnumbered the parts.
+func TestRefusalAsksTheHotShardAlone(t *testing.T) {
+	set := settings()
+	set.Reach = 1 // shard i is held by server i+1 alone
+	b := newBed(t, set)
+	b.known(100, 200*ms, 1, 2, 3)
+	b.query(200, 0, 0, 1, 2)
+	b.after(5*ms, reply(1, 90), reply(2, 0), reply(3, 0))
+	b.after(200*ms, closed(201, 0, 1, OK, 200*ms), closed(202, 0, 2, OK, 200*ms), closed(203, 0, 3, OK, 200*ms))
+	b.after(1500 * ms)
+	b.query(300, 0, 0, 1, 2)
+	expect[Refuse](t, b.last, 1)
+	if p := expect[Probe](t, b.last, 1)[0]; p.Server != 1 {
+		t.Errorf("server %d was asked, 1 stood in the way", p.Server)
+	}
+}
+
+// A server that says that each request takes it ten times as long has ten times the work in hand, and for ten times
+// as long: a node among hundreds meets it too seldom to find out by its own parts.
+func TestReportedServiceTimeIsWork(t *testing.T) {
+	set := settings()
+	set.ReportFields = []ReportField{FieldInflight, FieldServiceTime}
+	b := newBed(t, set)
+	for id, each := range map[ServerID]float64{1: 200, 2: 20, 3: 20} {
+		b.turn(Probed{Server: id, Code: OK, Report: []float64{8, each}})
+	}
+	slow, usual := b.r.servers[1], b.r.servers[2]
+	if got := b.r.work(slow) / b.r.work(usual); got < 9.9 || got > 10.1 {
+		t.Errorf("ten times the service time is %.1f times the work", got)
+	}
+	b.after(3 * time.Second) // 30 median latencies, of which others' work halves each 15, or each 150 there
+	if left := b.r.work(usual); left > 3.1 {
+		t.Errorf("the usual server's old report still counts %.1f", left)
+	}
+	if left := b.r.work(slow); left < 70 {
+		t.Errorf("the slow server's old report counts %.1f only", left)
+	}
+	b.query(100, 0, 0)
+	b.after(5*ms, Probed{Server: 1, Code: OK, Report: []float64{1, 200}}, Probed{Server: 2, Code: OK, Report: []float64{4, 20}},
+		Probed{Server: 3, Code: OK, Report: []float64{6, 20}})
+	if to := expect[Send](t, b.last, 1)[0].Server; to != 2 {
+		t.Errorf("the part went to server %d, not to the one that is done first", to)
+	}
+}
+
 // A lost shard has its own queries refused and does not press the others.
 func TestLostShardPressesNoOther(t *testing.T) {
 	set := settings()
