Cold servers are used by what reports allow, and one jammed shard presses no other

Cold ones got 7 parts a second each, at 50 to 100 they could do (median in hand 0 at all ages; at 5 s old they say 24 to 28 ms a request, the warm 21). And mean=1312 worst=23888: one jam alone passed the limit on the mean, so that the node refused others as pressed.

At fault: coldGap() took a server's use as whole where reports tell none (FieldUtil is not among this site's), so a node's rate of 0.14 parts a second a server was what a warm one "could take"; coldNext kept the gap of the start (up to 41 s, past the 18 s to warm) though the allowance grows. admit() took a jam for want of room. Now: use is what is in service by the report over the size; the gap is that of now; half of a cold server's own word on its speed counts after a third of Cold (its average starts from 0: 3.9 ms at 3 s); 0.7 of FallMultiple is used, as the allowance is spent by chance and the larger rate leaves less slack. A refusal asks the shards over half of the limit anew.

--- a/beliefs.go
+++ b/beliefs.go
@@ -33,6 +33,8 @@
 	return out
 }
 
+const aloneFor = time.Second // without a part makes a sick server one that is avoided
+
 // Listed counts the servers of the list, and those of them that are avoided now, not just for the moment
 // that a full one is left alone: they drain, are down, or look sick for every class and got no part lately.
 func (r *Router) Listed(now time.Duration) (known, avoided int) {
--- a/router.go
+++ b/router.go
@@ -19,7 +19,6 @@
 
 	latencyWindow = 10 * time.Second      // is the span of all latency and probe medians
 	replyLasts    = 25 * time.Millisecond // for each front node, is how long a reply counts in later races
-	aloneFor      = time.Second           // without a part makes a sick server one that is avoided
 
 	overdueMedians = 4    // a part is overdue at this multiple of its class's median latency
 	overdueGuess   = 0.4  // stands in for it before latencies are known, as a share of the aim
@@ -39,11 +38,12 @@
 	fullPause      = 0.5  // in median latencies, is how long a server that was full is left alone ...
 	fullDoublings  = 4    // ... and so often that is doubled while nothing is served: it may stand still
 	leastUtil      = 0.4  // bounds how far low reported use raises the cold allowance
-	joinBonus      = 1.1  // in requests in hand, is what sharing a call is worth where calls cost
-	homeBonus      = 50   // the same for staying in this zone, for each unit of what crossing costs
+	// Of FallMultiple so much is used, and a cold server's word on its speed after so much of Cold.
+	coldCaution, coldTold = 0.7, 1.0 / 3
+	joinBonus             = 1.1 // in requests in hand, is what sharing a call is worth where calls cost
+	homeBonus             = 50  // the same for staying in this zone, for each unit of what crossing costs
 
-	// forgetMeets, in mean gaps between this node's outcomes at one server, is the time in which bad
-	// health counts half: after a fixed time many nodes would try a sick server as often as a sound one.
+	// forgetMeets, in mean gaps between own outcomes at one server, is the time in which bad health halves.
 	forgetMeets, forgetLeast, forgetMost = 4, 10 * time.Second, time.Minute
 
 	askFirst, askMost = 500 * time.Millisecond, 8 * time.Second // bound the backoff of failed calls
@@ -58,9 +58,9 @@
 
 	valueLeast, valueMost = 0.4, 1.3 // bound how far worth for work moves those limits
 
-	// In median latencies (quietLatency where none is known): the age at which others' reported work
-	// counts half, and that at which a report behind a refusal is asked for anew.
-	reportHalf, reportStale, quietLatency = 15, 5, 100 * time.Millisecond
+	// In median latencies (quietLatency where none is known): the age at which others' reported work halves,
+	// and that at which a report behind a refusal is asked anew; and about the age of one that has just come.
+	reportHalf, reportStale, quietLatency, reportLag = 15, 5, 100 * time.Millisecond, time.Second
 
 	// A tenant is over its share past overShare times this node's part of it: chance must not do it.
 	overShare, tenantWindow = 1.25, 10 * time.Second
@@ -77,7 +77,7 @@
 	reportAt            time.Duration
 	reportOut           int           // own attempts out when the report changed
 	latency             *window       // of own parts
-	sentAt, coldNext    time.Duration // of the latest part; while cold: the earliest time of the next
+	sentAt, coldAt      time.Duration // of the latest part; while cold: when the gap to the next began
 	probes              []time.Duration
 	lost                int       // probes lost in a row
 	health              []float64 // by class, as of healthAt
@@ -164,7 +164,8 @@
 	pressed              time.Duration   // when a query was last refused for want of room
 	forget               float64         // time in which bad health counts half
 	token                uint64
-	asked                bool // subscribed or asking
+	seldom, usual        float64 // weight of a reported pace; what a warm server takes of this node
+	asked                bool    // subscribed or asking
 	alarm, askAt, askGap time.Duration
 }
 
@@ -191,6 +192,7 @@
 // Turn takes what happened up to now and returns what to do, valid until the next turn.
 func (r *Router) Turn(now time.Duration, events []Event) []Action {
 	r.now, r.actions = now, r.actions[:0]
+	r.usual = r.warmRate()
 	for _, e := range events {
 		switch e := e.(type) {
 		case ListUpdate:
@@ -229,6 +231,7 @@
 	clear(r.calls)
 	meets := float64(latencyWindow) * float64(len(r.order)) / float64(max(1, r.all.count(r.now)))
 	r.forget = max(float64(forgetLeast), min(float64(forgetMost), forgetMeets*meets))
+	r.seldom = meets / (meets + float64(reportLag))
 	r.waiting = 0
 	for _, q := range slices.Clone(r.queries) {
 		r.admit(q)
@@ -242,8 +245,6 @@
 
 func (r *Router) do(a Action) { r.actions = append(r.actions, a) }
 
-// Discovery.
-
 // learnList applies news of the list. A server absent from a full list counts as gone; one that
 // comes back keeps what is known of it only if its process did not restart.
 func (r *Router) learnList(u ListUpdate) {
@@ -272,8 +273,9 @@
 		if s.health == nil || e.Since > s.entry.Since {
 			s.health = slices.Repeat([]float64{1}, len(r.set.Classes))
 			s.lost, s.report, s.latency = 0, nil, newWindow(latencyWindow)
+			s.entry = e
 			if chance := r.rng.Float64(); r.isCold(e) { // keeps the front nodes from sending in step
-				s.coldNext = r.now + time.Duration(chance*r.coldGap(e, 1))
+				s.coldAt = r.now - time.Duration(chance*r.coldGap(s, 1))
 			}
 		}
 		s.entry, s.listed = e, e.State != Gone
@@ -298,8 +300,6 @@
 	return list
 }
 
-// Queries.
-
 // arrive takes a query or one of its parts.
 func (r *Router) arrive(a Arrival) {
 	r.arrivals.add(r.now, 1)
@@ -352,17 +352,17 @@
 		limit *= admitTight / (1 + math.Log(float64(max(1, len(q.parts)))))
 	}
 	limit *= max(valueLeast, min(valueMost, value/r.values.middle(r.now, value)))
-	mean, worst, hot := r.forecast(q)
+	mean, worst, hot := r.forecast(q, limit/2)
 	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
 	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
 	hopeless := worst > hopelessShare*float64(q.class.Aim) || q.class.FetchParts > 0 || q.class.Stream
 	if len(q.parts) == 0 || crowded || mean > limit || hopeless {
-		if crowded || mean > limit {
+		jam := worst > hopelessShare*float64(q.class.Aim) && mean-worst/float64(len(q.parts)) <= limit
+		if crowded || mean > limit && !jam {
 			r.pressed = r.now // a shard that is hot or gone presses no other
 		}
-		// Or no new report would come. Hundreds of nodes that ask for all parts probe more than they send.
 		stale := time.Duration(reportStale * r.typical(q.Class))
-		r.probe(only(r.reachable(hot), func(s *server) bool { return r.now > s.reportAt+stale }), stale)
+		r.probe(only(hot, func(s *server) bool { return r.now > s.reportAt+stale }), stale)
 		r.refuse(q, time.Duration(max(mean-limit, admitShare*limit)))
 	}
 }
@@ -383,28 +383,25 @@
 }
 
 // forecast is the time that a query's parts would take now, on average, at worst, and where. A shard's is the
-// harmonic mean over its replicas, as they share its parts by how soon each is done: sick ones with long
-// queues cost their share of room, no more. A replica's is its work times what a unit of work took lately,
-// or twice the age of what is out there if that is more (reports may lag or lie).
-func (r *Router) forecast(q *query) (mean, worst float64, hot int) {
+// harmonic mean over its replicas, as they share its parts by how soon each is done. A replica's is its work
+// times what a unit of work took lately, or twice the age of what is out there (reports may lag or lie).
+func (r *Router) forecast(q *query, over float64) (mean, worst float64, hot []*server) {
 	unit := r.unit.middle(r.now, r.typical(q.Class))
 	waiting := float64(r.waiting) / float64(max(1, len(r.order))) // a burst is not out yet, but will be
 	for _, p := range q.parts {
-		replicas, rate := 0.0, 0.0
-		for _, s := range r.reachable(p.shard) {
+		list, rate, each := r.reachable(p.shard), 0.0, math.Inf(1) // none: nothing to wait for
+		for _, s := range list {
 			age := float64(time.Duration(s.out)*r.now-s.sentSum) / float64(s.out+1) // few count for less
 			pause := float64(max(0, s.fullUntil-r.now))                             // if full now
 			rate += 1 / (pause + max(unit*(r.work(s)+waiting), ageFactor*age))
-			replicas++
 		}
-		each := replicas / rate
-		if replicas == 0 {
-			each = math.Inf(1) // all are down or spent: nothing to wait for
-		} else {
+		if len(list) > 0 {
+			each = float64(len(list)) / rate
 			mean += each / float64(len(q.parts))
 		}
-		if each > worst {
-			worst, hot = each, p.shard
+		worst = max(worst, each)
+		if each > over {
+			hot = append(hot, list...)
 		}
 	}
 	return mean, worst, hot
@@ -465,9 +462,8 @@
 	}
 }
 
-// tend looks after one open query: its answer, its end, its overdue parts. A safe query that lost
-// its last chance is refused rather than failed: asking again does no harm and is advised when. One that
-// lost it as a body is gone is failed all the same if anything may have run: nothing here can repeat it.
+// tend looks after an open query: its answer, end, overdue parts. A safe one that lost its last chance
+// is refused, as asking again does no harm; failed if it lost it as a body is gone and anything may have run.
 func (r *Router) tend(q *query) {
 	if q.closed {
 		return
@@ -505,9 +501,8 @@
 	}
 }
 
-// worthless tells whether a query is no longer worth its work: past its aim, with nothing to earn, or while
-// others are refused for want of room and the share of work to do is above that of worth to earn. It guards
-// overloads against late answers in a row. It could harm where calling back saves nothing.
+// worthless tells whether a query is past its aim, with nothing to earn, or less than its share of work to do
+// while others are refused for want of room. It could harm where calling back saves nothing.
 func (r *Router) worthless(q *query, left float64) bool {
 	return r.now >= q.arrived+q.class.Aim && r.set.SecondCopies && q.class.Effect != Unsafe &&
 		(q.class.LateShare <= 0 || r.isPressed(q) && left > q.class.LateShare)
@@ -518,8 +513,6 @@
 	return r.now < r.pressed+time.Duration(pressAims*float64(q.class.Aim))
 }
 
-// Attempts.
-
 // typical is the median latency of a class, or a guess from its aim.
 func (r *Router) typical(class int) float64 {
 	return r.latency[class].middle(r.now, overdueGuess/overdueMedians*float64(r.set.Classes[class].Aim))
@@ -621,8 +614,6 @@
 	}
 }
 
-// Health.
-
 // health is a server's moving score of outcomes for a class, 1 when sound. What was bad is forgotten
 // with time, so that a server left alone is tried again.
 func (r *Router) health(s *server, class int) float64 {
@@ -649,7 +640,7 @@
 // open is the same for a server that is only full: a query can wait until it is not.
 func (r *Router) open(s *server) bool {
 	return s.listed && s.entry.State == Ready && (!s.down || r.now >= s.fullUntil) &&
-		(!r.isCold(s.entry) || r.now >= s.coldNext)
+		(!r.isCold(s.entry) || r.now >= s.coldAt+time.Duration(r.coldGap(s, 1)))
 }
 
 // bestHealth is the best health among some servers for a class.
@@ -660,8 +651,6 @@
 	return best
 }
 
-// Cold servers.
-
 // charge is the work of one part of a class, relative to the mean of all parts.
 func (r *Router) charge(class int) float64 {
 	all := r.all.middle(r.now, 1)
@@ -675,27 +664,43 @@
 
 // coldGap is the time between two parts of this node to a cold server, for a part of the given charge: when
 // every front node keeps it, starting at a time of its own, all stay under FallMultiple of its present
-// capacity in any window. What a warm one could take of one node is what the mean one answered this node
-// lately, set against how busy it says it is, and at least one part at a time, shared among the nodes (a node
-// may meet it less than once a window). It could harm where capacity is far more: returns are used slowly.
-func (r *Router) coldGap(e Entry, charge float64) float64 {
-	share := r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, float64(r.now-e.Since)/float64(r.set.Cold))
+// capacity in any window. Half of its own word on its speed is believed, once it has had time to measure it.
+func (r *Router) coldGap(s *server, charge float64) float64 {
+	age := float64(r.now-s.entry.Since) / float64(r.set.Cold)
+	share := r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age)
+	if pace := r.pace(s); age > coldTold && pace > 1 {
+		share = max(share, (share+1/pace)/2)
+	}
+	return charge / (coldCaution * share * r.set.FallMultiple * r.usual)
+}
+
+// warmRate is what a warm server could take of this node, in parts a nanosecond: what the mean one answered
+// it lately, set against how busy it is, and at least one part at a time, shared among the nodes.
+func (r *Router) warmRate() float64 {
 	busy := 0.0
 	for _, s := range r.order {
 		if s.listed && s.entry.State == Ready {
-			util, ok := r.field(s, FieldUtil)
-			if !ok || r.now > s.reportAt+latencyWindow {
-				util = 1
-			}
-			busy += max(leastUtil, min(1, util))
+			busy += r.busy(s)
 		}
 	}
 	taken := float64(r.all.count(r.now)) / float64(latencyWindow) / max(1, busy)
 	alone := 1 / (r.all.middle(r.now, float64(quietLatency)) * float64(r.set.Peers))
-	return charge / (share * r.set.FallMultiple * max(taken, alone))
+	return max(taken, alone)
 }
 
-// Load reports.
+// busy is how much of a server's capacity is in use, by its report: what it serves of its size where it says
+// no more. A server that has said nothing lately counts as wholly in use.
+func (r *Router) busy(s *server) float64 {
+	util, ok := r.field(s, FieldUtil)
+	if hand, held := r.field(s, FieldInflight); !ok && held && r.set.Sized && s.entry.Weight > 0 {
+		queue, queued := r.field(s, FieldQueue)
+		util, ok = (hand-queue)/s.entry.Weight, queued
+	}
+	if !ok || r.now > s.reportAt+latencyWindow {
+		util = 1
+	}
+	return max(leastUtil, min(1, util))
+}
 
 // learnReport keeps a server's latest report, and what this node had out when it changed.
 func (r *Router) learnReport(s *server, report []float64) {
@@ -742,19 +747,14 @@
 	return (load + 1) * pace
 }
 
-// pace is how much longer than elsewhere a request takes at a server, by its report: what waits there waits
-// so much longer, and its report is outdated so much later. Less than the usual is chance.
+// pace is how much longer than elsewhere a request takes at a server, by its report, as far as this node
+// meets servers too seldom to know by itself. What waits there waits so much longer; less than usual is chance.
 func (r *Router) pace(s *server) float64 {
-	if each, ok := r.field(s, FieldServiceTime); ok && each > 0 {
-		return max(1, each/r.service.middle(r.now, each))
-	}
-	return 1
+	each, _ := r.field(s, FieldServiceTime)
+	return math.Pow(max(1, each/r.service.middle(r.now, max(1, each))), r.seldom)
 }
 
-// The race.
-
-// probed books a probe's reply for the race that sent it: the latest whose probe can be as old
-// as the reply says.
+// probed books a probe's reply for the race that sent it: the latest that is as old as the reply says.
 func (r *Router) probed(e Probed) {
 	s := r.servers[e.Server]
 	if s == nil {
@@ -785,9 +785,8 @@
 	}
 }
 
-// candidates lists the replicas a part may go to now, those it has not tried if there are any. Of
-// them, replicas far less healthy than the shard's best are left out: they are compared with each other,
-// so that trouble which hits all of them ejects none and the last holder is never shut out.
+// candidates lists the replicas a part may go to now, those it has not tried if there are any. Ones far less
+// healthy than the shard's best are left out: trouble which hits all ejects none, and the last holder stays.
 func (r *Router) candidates(p *part) []*server {
 	out := only(r.replicas(p.shard), func(s *server) bool {
 		return r.eligible(s) && !slices.ContainsFunc(p.open, func(a *attempt) bool { return a.server == s })
@@ -867,8 +866,7 @@
 }
 
 // decide picks among the good, those of the list that replied: own-parts guard, least work, fewest own
-// parts. Where calls cost, a near-tie goes to a server called this turn. It could make parts wait; the
-// guard bounds that.
+// parts. Where calls cost, a near-tie goes to a server called this turn; the guard bounds the wait.
 func (r *Router) decide(p *part, list, good []*server) {
 	least := slices.MinFunc(list, func(a, b *server) int { return cmp.Compare(a.out, b.out) }).out
 	worth := func(s *server) float64 {
@@ -919,8 +917,8 @@
 		r.extras.add(r.now, 1)
 	}
 	if r.isCold(s.entry) {
-		gap := time.Duration(r.coldGap(s.entry, r.charge(p.query.Class)))
-		s.coldNext = max(s.coldNext, r.now-gap) + gap // a part may be behind its time by one gap
+		gap := time.Duration(r.coldGap(s, r.charge(p.query.Class)))
+		s.coldAt = max(s.coldAt+gap, r.now-gap) // a part may be behind its time by one gap
 	}
 	if !p.ran && len(p.open) == 0 {
 		p.firstRun = r.now
