--- a/router.go
+++ b/router.go
@@ -748,7 +748,7 @@
 }
 
 // pace is how much longer than elsewhere a request takes at a server, by its report, as far as this node
-// meets servers too seldom to know by itself. What waits there waits so much longer; less than usual is chance.
+// meets servers too seldom to know. What waits there waits so much longer; less than usual is chance.
 func (r *Router) pace(s *server) float64 {
 	each, _ := r.field(s, FieldServiceTime)
 	return math.Pow(max(1, each/r.service.middle(r.now, max(1, each))), r.seldom)
