Refusals ask fewer the more seldom a node meets servers, and more in small fleets

What a probe more costs a server is to be set against the parts that it gets from the node: a shard is asked over limit * seldom, seldom = meets / (meets + 1 s): about 0.2 with 3 nodes and 0.85 with 300.

--- a/router.go
+++ b/router.go
@@ -355,7 +355,7 @@
 		limit *= admitTight / (1 + math.Log(float64(max(1, len(q.parts)))))
 	}
 	limit *= max(valueLeast, min(valueMost, value/r.values.middle(r.now, value)))
-	mean, worst, hot := r.forecast(q, limit/2)
+	mean, worst, hot := r.forecast(q, limit*r.seldom) // met seldom, a server bears few probes for each part
 	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
 	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
 	hopeless := worst > hopelessShare*float64(q.class.Aim) || q.class.FetchParts > 0 || q.class.Stream
