Reported pace weighs by the squares of ages; refusals ask the shards over half the limit again

An estimate's error grows with its age, so the two weigh by the inverse squares of theirs: weight 1 / (1 + (lag / meets)^2). What a report says is about 2 s old: half a second between reports, and its latency is an average over some 4 s (seen on new servers, whose latency climbs for so long). About 0.02 with 3 nodes, 0.88 with 300 (0.2 and 0.85 before).

--- a/router.go
+++ b/router.go
@@ -60,8 +60,8 @@
 	valueLeast, valueMost = 0.4, 1.3 // bound how far worth for work moves those limits
 
 	// In median latencies (quietLatency where none is known): the age at which others' reported work halves,
-	// and that at which a report behind a refusal is asked anew; and about the age of one that has just come.
-	reportHalf, reportStale, quietLatency, reportLag = 15, 5, 100 * time.Millisecond, time.Second
+	// and that at which a report behind a refusal is asked anew; and about the age of what a new one says.
+	reportHalf, reportStale, quietLatency, reportLag = 15, 5, 100 * time.Millisecond, 2 * time.Second
 
 	// A tenant is over its share past overShare times this node's part of it: chance must not do it.
 	overShare, tenantWindow = 1.25, 10 * time.Second
@@ -232,7 +232,7 @@
 	clear(r.calls)
 	meets := float64(latencyWindow) * float64(len(r.order)) / float64(max(1, r.all.count(r.now)))
 	r.forget = max(float64(forgetLeast), min(float64(forgetMost), forgetMeets*meets))
-	r.seldom = meets / (meets + float64(reportLag))
+	r.seldom = 1 / (1 + math.Pow(float64(reportLag)/meets, 2)) // errors grow with age: weights by its square
 	r.waiting = 0
 	for _, q := range slices.Clone(r.queries) {
 		r.admit(q)
@@ -355,7 +355,7 @@
 		limit *= admitTight / (1 + math.Log(float64(max(1, len(q.parts)))))
 	}
 	limit *= max(valueLeast, min(valueMost, value/r.values.middle(r.now, value)))
-	mean, worst, hot := r.forecast(q, limit*r.seldom) // met seldom, a server bears few probes for each part
+	mean, worst, hot := r.forecast(q, limit/2)
 	// Guards the memory of a coordinator: what it may hold is counted with this query and its parts.
 	crowded := r.set.MaxOpen > 0 && len(r.byID)+len(r.parts) > r.set.MaxOpen
 	hopeless := worst > hopelessShare*float64(q.class.Aim) || q.class.FetchParts > 0 || q.class.Stream
