--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/textproto"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -28,12 +29,17 @@
 		"linkpass-ctl": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) }, "curl": func() { os.Exit(curl(os.Args[1:])) }})
 }
 
-// Every command, with its exit codes and its output, against a coordinator on a stand-in fleet.
+// Every command, with its exit codes and its output, and every command that the pages show, against a coordinator on a
+// stand-in fleet.
 func TestCommands(t *testing.T) {
 	event.SetOutput(io.Discard, false)
 	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
 	t.Setenv("TMPDIR", t.TempDir())
-	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
+	files, err := filepath.Glob(filepath.Join("testdata", "*.txtar"))
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	testscript.Run(t, testscript.Params{Files: append(files, documented(t)...), Setup: func(e *testscript.Env) error {
 		d, err := lab.StartDemo(1) // one for each script: they change it
 		if err != nil {
 			return err
@@ -43,6 +49,10 @@
 		e.Setenv("TCP", d.Operator)
 		e.Setenv("KEYS", d.KeyFile)
 		e.Setenv("FILE", d.File)
+		e.Setenv("CONFIG", d.Config)
+		e.Setenv("SEARCH", d.Search)
+		e.Setenv("DOOR", d.Door)
+		e.Setenv("SET", strings.Join(d.Sets()[0], "+"))
 		e.Setenv("DEAD_SOCKET", e.WorkDir+"/nobody.sock")
 		return deaf(e)
 	}})
--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -10,11 +10,6 @@
 	"regexp"
 	"strings"
 	"testing"
-
-	"github.com/rogpeppe/go-internal/testscript"
-
-	"linkpass/internal/event"
-	"linkpass/internal/lab"
 )
 
 var (
@@ -43,12 +38,9 @@
 // refused are the commands that a coordinator which runs alone, as the test's does, has to turn down, and why.
 var refused = map[string]string{"linkpass store recover": "recovery refused"}
 
-// Every command that the pages show runs as it stands there, in the order of its page, against a coordinator on a
-// stand-in fleet; of a table's optional words all are given.
-func TestDocumentedExamples(t *testing.T) {
-	event.SetOutput(io.Discard, false)
-	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
-	t.Setenv("TMPDIR", t.TempDir())
+// documented makes a script of each page: every command that it shows, as it stands there and in its order, to be run
+// against a coordinator on a stand-in fleet; of a table's optional words all are given.
+func documented(t *testing.T) (scripts []string) {
 	pages, err := filepath.Glob(filepath.Join("..", "..", "docs", "*.md"))
 	if err != nil {
 		t.Fatal(err)
@@ -60,6 +52,8 @@
 			t.Fatal(err)
 		}
 		var script bytes.Buffer
+		fmt.Fprintln(&script, "env ROUTER_CONFIG=$CONFIG")
+		m := n
 		for _, found := range shown.FindAllStringSubmatch(string(text), -1) {
 			line := addresses.Replace(strings.TrimPrefix(strings.TrimSpace(found[1]+found[2]), "bin/"))
 			if !strings.HasPrefix(line, "curl") {
@@ -75,30 +69,19 @@
 			}
 			n++
 		}
-		if script.Len() > 0 {
-			name := strings.TrimSuffix(filepath.Base(page), ".md") + ".txtar"
-			if err := os.WriteFile(filepath.Join(dir, name), script.Bytes(), 0o600); err != nil {
-				t.Fatal(err)
-			}
+		if n == m {
+			continue
 		}
+		file := filepath.Join(dir, strings.TrimSuffix(filepath.Base(page), ".md")+"-page.txtar")
+		if err := os.WriteFile(file, script.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		scripts = append(scripts, file)
 	}
 	if n < 40 {
-		t.Errorf("only %d commands found", n)
+		t.Errorf("only %d commands found in the pages", n)
 	}
-	testscript.Run(t, testscript.Params{Dir: dir, Setup: func(e *testscript.Env) error {
-		d, err := lab.StartDemo(1)
-		if err != nil {
-			return err
-		}
-		e.Defer(d.Close)
-		e.Setenv("LINKPASS_SOCKET", d.Socket)
-		e.Setenv("FILE", d.File)
-		e.Setenv("ROUTER_CONFIG", d.Config)
-		e.Setenv("SEARCH", d.Search)
-		e.Setenv("DOOR", d.Door)
-		e.Setenv("SET", strings.Join(d.Sets()[0], "+"))
-		return nil
-	}})
+	return scripts
 }
 
 // starts is the value of the key that a line begins with.
