The store refuses an instance whose disk is an old image, and limits clients' changes

Instances now report how far their disks are, before Raft may vote and once a second; who has seen an instance further refuses it (409): it does not start, or its part in the store ends. A test puts an image back in a running cluster, both ways.

Changes of clients are bounded (100 a second, 200 at once, 1 MiB each; 429 and 413), orders on servers are not.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -318,6 +318,12 @@
 		errors.Is(err, store.ErrMember) || errors.Is(err, store.ErrMajority) || errors.Is(err, store.ErrBehind) {
 		return fail(409, err)
 	}
+	switch {
+	case errors.Is(err, store.ErrTooLarge):
+		return fail(413, err)
+	case errors.Is(err, store.ErrBusy):
+		return fail(429, err)
+	}
 	return fail(503, err)
 }
 
--- a/internal/daemon/agree.go
+++ b/internal/daemon/agree.go
@@ -8,11 +8,13 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"linkpass/internal/agree"
 	"linkpass/internal/config"
 	"linkpass/internal/config/facts"
+	"linkpass/internal/config/marks"
 	"linkpass/internal/control"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/discovery"
@@ -26,6 +28,36 @@
 // versionPath tells the version of the state as this instance has it.
 const versionPath = "/_linkpass/version"
 
+// marksPath is where instances tell each other how far they are.
+const marksPath = "/_linkpass/marks"
+
+// tellMark reports to another instance how far this one is.
+func tellMark(ctx context.Context, m store.Member, r marks.Report) error {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("marks: %w", err)
+	}
+	said, err := callPeer(ctx, m.HTTP, "POST", marksPath, body)
+	if errors.Is(err, errConflict) {
+		err = fmt.Errorf("%w (%s)", marks.ErrRestored, strings.TrimSpace(string(said)))
+	}
+	return err
+}
+
+// hearMark takes another instance's report.
+func (p *Program) hearMark(req *http1.Request) *http1.Response {
+	var r marks.Report
+	if err := json.Unmarshal(req.Body, &r); req.Method != "POST" || err != nil || r.ID == "" {
+		p.count.Add("marks_bad", 1)
+		return &http1.Response{Status: 400, Body: []byte("this is no report\n")}
+	}
+	if err := p.Store().Heard(r); err != nil {
+		p.count.Add("marks_refused", 1)
+		return &http1.Response{Status: 409, Body: []byte(err.Error() + "\n")}
+	}
+	return &http1.Response{Status: 200}
+}
+
 // openAgreement makes what keeps the list by discovery and by what instances agree on; without a store there is none.
 func (p *Program) openAgreement() error {
 	c := p.cfg.Search.Store
@@ -93,15 +125,20 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	res, err := http1.NewReader(nc, 0).Response()
-	if err == nil && res.Status != 200 {
-		err = fmt.Errorf("status %d", res.Status)
-	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, fmt.Errorf("%s at %s: %w", path, addr, err)
+	case res.Status == 409:
+		return res.Body, fmt.Errorf("%s at %s: %w", path, addr, errConflict)
+	case res.Status != 200:
+		return nil, fmt.Errorf("%s at %s: status %d", path, addr, res.Status)
 	}
 	return res.Body, nil
 }
 
+// errConflict is an answer 409; its body says why.
+var errConflict = errors.New("status 409")
+
 const memberLimit = 2 * time.Second // for a learner to say how far it is, and for members to answer
 
 // MemberOrder changes the instances of the store.
@@ -140,6 +177,9 @@
 		if p.agreement != nil && req.Path == versionPath && req.Method == "GET" {
 			return &http1.Response{Status: 200, Body: strconv.AppendUint(nil, p.Store().State().Version(), 10)}
 		}
+		if p.agreement != nil && req.Path == marksPath {
+			return p.hearMark(req)
+		}
 		if req.Path != ordersPath || p.agreement == nil {
 			return front.Serve(ctx, began, req)
 		}
--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -163,7 +163,7 @@
 	answers := opensearch.FixedSettings(p.fixed.Load)
 	if p.cfg.Search.Store.ID != "" {
 		c := p.cfg.Search.Store
-		c.Initial, c.Changed, c.Applied = initial, p.layouts.take, p.agreement.Applied
+		c.Initial, c.Changed, c.Applied, c.Report = initial, p.layouts.take, p.agreement.Applied, tellMark
 		s, err := store.Open(c)
 		if err != nil {
 			return nil, err
--- a/internal/event/registry.go
+++ b/internal/event/registry.go
@@ -29,6 +29,9 @@
 	StoreHalted = register("store", "store_halted", "index err", hclog.Error,
 		"an entry of the store is of a later program; this instance takes no further one, what held goes on holding here",
 		"bring this instance to the others' version and restart it; searches go on meanwhile")
+	StoreRestored = register("store", "store_restored", "err", hclog.Error,
+		"another instance has seen this one further than its disk is: the disk is an old image or a copy; this instance votes no more, what held here goes on holding",
+		"stop it, take it away (`linkpass store leave ID`), empty its directory, let it join under a new id: see [raft.md](raft.md)")
 	OrderHeard = register("store", "order_heard", "order server kind from", hclog.Info,
 		"a drain or a removal of a league server holds here from now on, before the log has it", "nothing; see [raft.md](raft.md)")
 	OrderWithdrawn = register("store", "order_withdrawn", "order server kind why", hclog.Warn,
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -281,6 +281,41 @@
 	holds(t, w.nodes[:1], "s-03", "draining", false)
 }
 
+// Instances report their disks to each other over the search front: one that comes with an earlier start is turned away
+// with 409, what is no report with 400.
+func TestDisksAreReported(t *testing.T) {
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
+	t.Setenv("TMPDIR", t.TempDir())
+	w := cluster(t, 17, 3)
+	ask := func(body string) int {
+		t.Helper()
+		status, _, err := w.ask(w.nodes[0], "POST", "/_linkpass/marks", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status
+	}
+	for ask(`{"id":"n1","boot":0}`) != 409 { // until n1's own report has come
+		if t.Context().Err() != nil {
+			t.Fatal("no report of n1 came")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if status := ask(`{"id":"nobody","boot":7}`); status != 200 {
+		t.Errorf("a stranger: %d", status)
+	}
+	for _, bad := range []string{``, `{}`, `[1]`, `{"id":"n1","boot":-1}`} {
+		if status := ask(bad); status != 400 {
+			t.Errorf("%s: %d", bad, status)
+		}
+	}
+	c := w.nodes[0].p.Counters()
+	if bad, refused := c.Get("marks_bad"), c.Get("marks_refused"); bad != 4 || refused < 1 {
+		t.Errorf("%d bad, %d refused", bad, refused)
+	}
+}
+
 // A short run of the experiment on drains keeps every rule; how fast it was is not looked at, but for the second that is
 // the rule.
 func TestDrainsKeepTheRules(t *testing.T) {
--- a/internal/opensearch/settings.go
+++ b/internal/opensearch/settings.go
@@ -83,6 +83,10 @@
 		return res
 	case errors.Is(err, catalog.ErrInvalid):
 		return errorResponse(badRequest("illegal_argument_exception", err.Error()))
+	case errors.Is(err, store.ErrTooLarge):
+		return errorResponse(&cause{Type: "content_too_long_exception", Reason: err.Error(), Status: 413})
+	case errors.Is(err, store.ErrBusy):
+		return errorResponse(&cause{Type: "circuit_breaking_exception", Reason: err.Error(), Status: 429})
 	case errors.Is(err, store.ErrNoQuorum):
 		c.Type = "process_cluster_event_timeout_exception"
 	}
--- /dev/null
+++ b/internal/store/limits.go
@@ -0,0 +1,48 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"golang.org/x/time/rate"
+)
+
+// Limits on what clients may put into the log. Orders on servers (drain, remove) are not held up by them: the instances
+// have at most a bounded number of those unsettled.
+const (
+	MaxCommand = 1 << 20 // bytes of an entry; a layout of some thousand slices takes half of it
+	// Changes a second, and at once after a pause: each is written to disk by every instance, a few milliseconds' work.
+	changesPace, changesAtOnce = 100, 200
+
+	snapshotEvery = 30 * time.Second // between two looks at whether the log is long enough for a snapshot
+	logKept       = 1024             // entries for followers that are behind; past that they get the snapshot
+	appendMost    = 16               // entries in one message to a follower: 16 MB of memory at the most for one that is slow
+)
+
+// Errors of a change that is over a limit.
+var (
+	ErrTooLarge = errors.New("store: the change is too large")
+	ErrBusy     = errors.New("store: too many changes at a time, ask again in a moment")
+)
+
+// changesLimit bounds the changes that clients make at this instance.
+func changesLimit() *rate.Limiter { return rate.NewLimiter(changesPace, changesAtOnce) }
+
+// admit tells whether one more change of a client may be made now.
+func (s *Store) admit() error {
+	if !s.changes.Allow() {
+		return fmt.Errorf("%w: %d a second are taken", ErrBusy, changesPace)
+	}
+	return nil
+}
+
+// bound sets how much of the log is kept and sent at once.
+func (c *Config) bound(rc *raft.Config) {
+	kept := c.LogKept
+	if kept == 0 {
+		kept = logKept
+	}
+	rc.SnapshotInterval, rc.SnapshotThreshold, rc.TrailingLogs, rc.MaxAppendEntries = snapshotEvery, uint64(kept), uint64(kept), appendMost
+}
--- /dev/null
+++ b/internal/store/limits_test.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"linkpass/internal/catalog"
+	"linkpass/internal/config"
+	"linkpass/internal/config/facts"
+)
+
+// A change that is too large, or one too many, is refused and changes nothing; orders on servers go on.
+func TestChangesAreBounded(t *testing.T) {
+	c := newCluster(t)
+	s := c.stores[c.change(window(7))]
+	big := config.Command{Kind: config.SetPeer, Server: "n9", Text: bytes.Repeat([]byte("x"), MaxCommand)}
+	if _, err := s.Command(big); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("an entry over the bound: %v", err)
+	}
+	s.changes.SetLimit(0)
+	for s.changes.Allow() {
+	}
+	_, change := s.Change([]byte(window(8)))
+	_, update := s.Update(func(now *catalog.Catalog) (*catalog.Catalog, error) { return now.Patch([]byte(window(8))) })
+	_, command := s.Command(config.Command{Kind: config.SetWeight, Server: "s-1", Weight: 2})
+	for _, err := range []error{change, update, command} {
+		if !errors.Is(err, ErrBusy) {
+			t.Errorf("one too many: %v", err)
+		}
+	}
+	order := facts.Order{ID: facts.ID{Origin: facts.Origin{Instance: "n0", Boot: 1}, Seq: 1}, Server: "s-1", Kind: facts.Removed, Force: true}
+	if r, err := s.Command(config.Command{Kind: config.Restrict, Order: &order}); err != nil || r.Reason != config.Done {
+		t.Errorf("an order: %+v %v", r, err)
+	}
+	if w := s.Current().Window(); w != 7 {
+		t.Errorf("window %d", w)
+	}
+}
+
+// A follower that was away for longer than the log is kept gets the snapshot while changes go on, and has all of them.
+func TestASnapshotIsInstalledUnderChanges(t *testing.T) {
+	c := &cluster{t: t, dir: t.TempDir(), logKept: 8}
+	c.begin()
+	leader := c.change(window(7))
+	c.everywhere(7)
+	away := (leader + 1) % 3
+	c.stop(away)
+	for i := range 40 {
+		c.change(window(100 + i))
+	}
+	if err := c.stores[leader].raft.Snapshot().Error(); err != nil {
+		t.Fatal(err)
+	}
+	first, err := c.stores[leader].bolt.FirstIndex()
+	if err != nil || first < 20 {
+		t.Fatalf("the log begins at %d, %v: no snapshot is needed", first, err)
+	}
+	c.open(away, nil)
+	for i := range 40 {
+		c.change(window(200 + i))
+	}
+	c.everywhere(239)
+	hash := ""
+	for i, s := range c.stores {
+		h, err := s.State().Hash()
+		if hash == "" {
+			hash = h
+		}
+		if err != nil || h != hash {
+			t.Errorf("n%d: %s, %s elsewhere, %v", i, h, hash, err)
+		}
+	}
+	if n := c.stores[away].raft.Stats()["last_snapshot_index"]; n == "0" {
+		t.Error(fmt.Sprint("no snapshot came: ", n))
+	}
+}
--- /dev/null
+++ b/internal/store/marks_test.go
@@ -0,0 +1,110 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"linkpass/internal/config/marks"
+	"linkpass/internal/event"
+)
+
+// grapevine carries reports between the instances of a cluster, unless it is cut.
+type grapevine struct {
+	mu     sync.Mutex
+	stores map[string]*Store
+	cut    bool
+}
+
+func (g *grapevine) tell(_ context.Context, m Member, r marks.Report) error {
+	g.mu.Lock()
+	s := g.stores[m.ID]
+	if g.cut {
+		s = nil
+	}
+	g.mu.Unlock()
+	if s == nil {
+		return errors.New("out of reach")
+	}
+	return s.Heard(r)
+}
+
+func (g *grapevine) sever(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+}
+
+func (g *grapevine) open(c *cluster, i int) (*Store, error) {
+	id := c.members[i].ID
+	s, err := Open(Config{ID: id, Dir: filepath.Join(c.dir, id), Members: c.members, Pace: pace, Report: g.tell})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		s = nil
+	}
+	g.stores[id], c.stores[i] = s, s
+	return s, err
+}
+
+// An instance whose disk was put back to an old image is refused at its start, or ends its part as soon as it is heard; an
+// honest restart is not, and the others go on meanwhile.
+func TestARestoredDiskIsRefused(t *testing.T) {
+	event.SetOutput(io.Discard, false)
+	t.Cleanup(func() { event.SetOutput(os.Stderr, false) })
+	c := newCluster(t)
+	leader := c.change(window(7))
+	g, victim := &grapevine{stores: map[string]*Store{}}, (leader+1)%3
+	restart := func(i int) {
+		t.Helper()
+		c.stop(i)
+		if _, err := g.open(c, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		restart(i)
+	}
+	c.change(window(8))
+	c.everywhere(8)
+	dir, image := filepath.Join(c.dir, c.members[victim].ID), filepath.Join(t.TempDir(), "image")
+	back := func() {
+		t.Helper()
+		c.stop(victim)
+		if err := errors.Join(os.RemoveAll(dir), os.CopyFS(dir, os.DirFS(image))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.stop(victim)
+	if err := os.CopyFS(image, os.DirFS(dir)); err != nil {
+		t.Fatal(err)
+	}
+	restart(victim)
+	c.change(window(9))
+	c.everywhere(9)
+	restart(victim) // all that it holds is told at once
+	back()
+	if _, err := g.open(c, victim); !errors.Is(err, marks.ErrRestored) {
+		t.Fatalf("an old disk was opened: %v", err)
+	}
+	back()
+	g.sever(true) // nobody hears of it as it starts
+	s, err := g.open(c, victim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.sever(false)
+	c.until("its part to end", func() bool {
+		_, err := s.ReadAs(Reading{Kind: Stale, MaxAge: DefaultMaxAge})
+		return errors.Is(err, marks.ErrRestored)
+	})
+	if _, err := s.Change([]byte(window(1))); !errors.Is(err, marks.ErrRestored) || s.Leads() {
+		t.Errorf("it goes on: %v", err)
+	}
+	c.stop(victim)
+	c.change(window(10))
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,9 +18,11 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"golang.org/x/time/rate"
 
 	"linkpass/internal/catalog"
 	"linkpass/internal/config"
+	"linkpass/internal/config/marks"
 	"linkpass/internal/event"
 	"linkpass/internal/layout"
 )
@@ -48,6 +51,11 @@
 	Changed func(*catalog.Catalog) `toml:"-"`
 	// Applied is called after each entry and snapshot that this instance has taken; it should not wait for long.
 	Applied func() `toml:"-"`
+	// LogKept is how many entries stay in the log past a snapshot; 0: the usual number.
+	LogKept int `toml:"-"`
+	// Report tells another instance how far this one is; its error is marks.ErrRestored where that one knows better. nil:
+	// nobody is told, and an old disk is not found.
+	Report func(context.Context, Member, marks.Report) error `toml:"-"`
 	// Listener takes the place of one on this member's address, if set.
 	Listener net.Listener `toml:"-"`
 }
@@ -78,6 +86,8 @@
 	raft    *raft.Raft
 	bolt    *raftboltdb.BoltStore
 	machine *machine
+	marking marking
+	changes *rate.Limiter // of clients
 
 	barred   atomic.Uint64 // the term in which all of the terms before it was applied
 	changing sync.Mutex    // one change after another, each upon the last
@@ -99,12 +109,14 @@
 	logger := event.Raft()
 	rc := raft.DefaultConfig()
 	rc.LocalID, rc.Logger = raft.ServerID(c.ID), logger
+	c.bound(rc)
 	if c.Pace > 0 {
 		for _, d := range []*time.Duration{&rc.HeartbeatTimeout, &rc.ElectionTimeout, &rc.LeaderLeaseTimeout, &rc.CommitTimeout} {
 			*d = time.Duration(c.Pace * float64(*d))
 		}
 	}
-	s := &Store{config: c, machine: &machine{changed: c.Changed, applied: c.Applied}}
+	s := &Store{config: c, machine: &machine{changed: c.Changed, applied: c.Applied}, marking: marking{heard: marks.NewMemory()},
+		changes: changesLimit()}
 	initial := c.Initial
 	if initial == nil {
 		initial = &catalog.Catalog{}
@@ -119,6 +131,9 @@
 		_ = bolt.Close()
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.marking.cancel = cancel
+	s.marking.ended.Go(func() { s.keepReporting(ctx) })
 	return s, nil
 }
 
@@ -127,6 +142,9 @@
 	if err != nil {
 		return fmt.Errorf("store: snapshots: %w", err)
 	}
+	if err := s.mark(snaps); err != nil {
+		return err
+	}
 	ln := s.config.Listener
 	if ln == nil {
 		if ln, err = net.Listen("tcp", me.Raft); err != nil {
@@ -183,6 +201,9 @@
 
 // Change applies a merge patch once a majority has it.
 func (s *Store) Change(patch []byte) (*catalog.Catalog, error) {
+	if err := s.admit(); err != nil {
+		return nil, err
+	}
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	now, err := s.Read()
@@ -221,6 +242,9 @@
 // a document that another one has come before is refused with ErrConflict. A change that
 // gives back the document it was given replicates nothing.
 func (s *Store) Update(change func(*catalog.Catalog) (*catalog.Catalog, error)) (*catalog.Catalog, error) {
+	if err := s.admit(); err != nil {
+		return nil, err
+	}
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	now, err := s.Read()
@@ -272,6 +296,11 @@
 
 // Command replicates a command once a majority has it, and tells what it came to. Only the leader takes one.
 func (s *Store) Command(c config.Command) (config.Result, error) {
+	if c.Kind != config.Restrict {
+		if err := s.admit(); err != nil {
+			return config.Result{}, err
+		}
+	}
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	if err := s.leads(); err != nil {
@@ -288,6 +317,9 @@
 	if err != nil {
 		return config.Result{}, fmt.Errorf("store: %w", err)
 	}
+	if len(data) > MaxCommand {
+		return config.Result{}, fmt.Errorf("%w: %d bytes of %d", ErrTooLarge, len(data), MaxCommand)
+	}
 	future := s.raft.Apply(data, applyLimit)
 	if err := s.confirm(future); err != nil {
 		return config.Result{}, err
@@ -353,6 +385,8 @@
 
 // Close stops the instance; its state stays on disk.
 func (s *Store) Close() error {
+	s.marking.cancel()
+	s.marking.ended.Wait()
 	err := s.raft.Shutdown().Error()
 	if cerr := s.bolt.Close(); err == nil {
 		err = cerr
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -24,13 +24,21 @@
 	dir     string
 	members []Member
 	stores  []*Store // nil: down
+	logKept int
 }
 
 // pace keeps Raft's own limits short enough for a test; nothing is asserted on them.
 const pace = 0.2
 
 func newCluster(t testing.TB) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), stores: make([]*Store, 3)}
+	c := &cluster{t: t, dir: t.TempDir()}
+	c.begin()
+	return c
+}
+
+func (c *cluster) begin() {
+	t := c.t
+	c.stores = make([]*Store, 3)
 	listeners := make([]net.Listener, 3)
 	for i := range 3 {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -48,13 +56,12 @@
 			c.stop(i)
 		}
 	})
-	return c
 }
 
 func (c *cluster) open(i int, ln net.Listener) {
 	c.t.Helper()
 	s, err := Open(Config{ID: c.members[i].ID, Dir: filepath.Join(c.dir, c.members[i].ID), Members: c.members, Pace: pace,
-		Listener: ln, Initial: &catalog.Catalog{Search: catalog.Defaults{MaxResultWindow: 50}}})
+		LogKept: c.logKept, Listener: ln, Initial: &catalog.Catalog{Search: catalog.Defaults{MaxResultWindow: 50}}})
 	if err != nil {
 		c.t.Fatal(err)
 	}
