--- a/router.go
+++ b/router.go
@@ -60,8 +60,8 @@
 	valueLeast, valueMost = 0.4, 1.3 // bound how far worth for work moves those limits
 
 	// In median latencies (quietLatency where none is known): the age at which others' reported work halves,
-	// and that at which a report behind a refusal is asked anew; and about the age of what a new one says.
-	reportHalf, reportStale, quietLatency, reportLag = 15, 5, 100 * time.Millisecond, 2 * time.Second
+	// and that at which a report behind a refusal is asked anew; and about the age of one that has just come.
+	reportHalf, reportStale, quietLatency, reportLag = 15, 5, 100 * time.Millisecond, time.Second
 
 	// A tenant is over its share past overShare times this node's part of it: chance must not do it.
 	overShare, tenantWindow = 1.25, 10 * time.Second
