--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -23,13 +23,14 @@
 	addresses = strings.NewReplacer("127.0.0.1:9200", "$SEARCH", "127.0.0.1:19000", "$DOOR")
 )
 
-// elsewhere are the commands that another test runs, by their beginning: it takes long, or ends when told.
+// elsewhere are the commands that are not run from the page, by their beginning, and what runs instead: they take long, or
+// end when told.
 var elsewhere = map[string]string{
 	"linkpass --opensearch":   "TestNewConfiguration of internal/daemon, and each demo",
 	"linkpass demo":           "TestCommands runs on one",
-	"linkpass page":           "TestPage",
-	"linkpass-lab fleet":      "its fleet is the demo's",
-	"linkpass-lab run":        "TestReshape, TestBodies and TestDrains of internal/lab",
+	"linkpass page":           "TestServe of internal/page runs what it calls",
+	"linkpass-lab fleet":      "no test: the demo starts the same stand-ins",
+	"linkpass-lab run":        "TestReshapeKeepsTheRules and TestDrainsKeepTheRules of internal/lab; run bodies is run by hand alone",
 	"linkpass-lab hold":       "TestBodiesUnder32MB of internal/lab",
 	"linkpass slices abandon": "slices.txtar, where it is certain how far the plan has come",
 	"linkpass store promote":  "store.txtar: a member that no process stands for does not catch up",
--- a/internal/store/limits.go
+++ b/internal/store/limits.go
@@ -12,13 +12,13 @@
 // Limits on what clients may put into the log. Orders on servers (drain, remove) are not held up by them: the instances
 // have at most a bounded number of those unsettled.
 const (
-	MaxCommand = 1 << 20 // bytes of an entry; a layout of some thousand slices takes half of it
-	// Changes a second, and at once after a pause: each is written to disk by every instance, a few milliseconds' work.
+	MaxCommand = 1 << 20 // bytes of an entry
+	// Changes a second, and at once after a pause: each is written to disk by every instance.
 	changesPace, changesAtOnce = 100, 200
 
 	snapshotEvery = 30 * time.Second // between two looks at whether the log is long enough for a snapshot
 	logKept       = 1024             // entries for followers that are behind; past that they get the snapshot
-	appendMost    = 16               // entries in one message to a follower: 16 MB of memory at the most for one that is slow
+	appendMost    = 16               // entries in one message to a follower, 16 MiB of them at the most; the library's own bound is 64
 )
 
 // Errors of a change that is over a limit.
