--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"linkpass"
 	"linkpass/internal/agree"
 	"linkpass/internal/bodies"
 	"linkpass/internal/bodies/tier"
@@ -312,9 +313,18 @@
 	}
 	p.watcher = discovery.NewWatcher(p.cfg.discovery, p.listReader(), list, p.count)
 	p.watcher.Seed = p.cfg.seed
+	p.watcher.Patience = listPatience(p.cfg.module)
 	return nil
 }
 
+// listPatience is that with one service for all where changes have to be asked for, and that with an agent otherwise.
+func listPatience(set linkpass.Settings) discovery.Patience {
+	if set.Subscribe {
+		return discovery.Queued
+	}
+	return discovery.Pushed(set.DrainGrace)
+}
+
 // shareSockets divides the descriptors: half of what the program does not need for
 // itself is for clients, the fronts alike, and half for the league servers, so that
 // neither can starve the other. Clients with a request open need a third at most.
--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"linkpass"
 	"linkpass/internal/catalog"
 	"linkpass/internal/control"
 	"linkpass/internal/discovery"
@@ -486,6 +487,15 @@
 	}
 }
 
+// Where changes are pushed, what the agent has counts as told: it is asked more often than a service for all.
+func TestPatienceWithDiscovery(t *testing.T) {
+	for asked, want := range map[bool]discovery.Patience{true: discovery.Queued, false: discovery.Pushed(2 * time.Second)} {
+		if got := listPatience(linkpass.Settings{Subscribe: asked, DrainGrace: 2 * time.Second}); got != want {
+			t.Errorf("asked for: %v: %+v, want %+v", asked, got, want)
+		}
+	}
+}
+
 // A new version takes the listening socket that the platform holds. The old one stops
 // accepting at once, answers all that it accepted, and leaves the socket as it was.
 func TestANewVersionTakesOverTheSocket(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,14 +25,9 @@
 const (
 	// watchWait is short: a connection that fell silent looks like a list without changes until the wait
 	// is over, and the next call renews the watch at no cost.
-	watchWait  = time.Second
-	watchSlack = 750 * time.Millisecond  // past the wait: discovery says nothing to a watch that goes on
-	firstSlack = 2500 * time.Millisecond // to one that begins: it may stand in a queue, and would lose its place there
-	pauseFirst = 50 * time.Millisecond   // before the next try, about; a renewal has 200 ms
-	pauseMost  = 1600 * time.Millisecond // doubled up to this: many coordinators turned away must not keep discovery down
-	firstWait  = 300 * time.Millisecond  // for discovery's first word, before the list last known will do
-	dialLimit  = 500 * time.Millisecond  // the agent is on this machine
-	maxList    = 1 << 20                 // bytes of a list
+	watchWait = time.Second
+	firstWait = 300 * time.Millisecond // for discovery's first word, before the list last known will do
+	maxList   = 1 << 20                // bytes of a list
 
 	// none stands for no version held. Version 0 is a real one: asking for the
 	// whole list in its place, which is answered at once, would go on for ever.
@@ -123,10 +118,11 @@
 	Core     Core
 	Counters *counters.Set
 	Seed     uint64 // of the chance that keeps many watchers from asking in step
+	Patience Patience
 
 	version int64
 	answers int           // of discovery in a row
-	pause   time.Duration // before the next try, about
+	rest    time.Duration // before the next try, about
 	chance  *rand.Rand
 	mailbox chan reply
 	moves   chan string
@@ -136,7 +132,7 @@
 
 // NewWatcher makes the watcher of the list at an address.
 func NewWatcher(addr string, reader *Reader, core Core, count *counters.Set) *Watcher {
-	w := &Watcher{Addr: addr, Reader: reader, Core: core, Counters: count, mailbox: make(chan reply, 1),
+	w := &Watcher{Addr: addr, Reader: reader, Core: core, Counters: count, Patience: Queued, mailbox: make(chan reply, 1),
 		moves: make(chan string, 1), first: make(chan struct{})}
 	w.usable = sync.OnceFunc(func() { close(w.first) })
 	return w
@@ -190,15 +186,15 @@
 	}
 	var held *line
 	failing := false
-	w.pause, w.chance = pauseFirst, rand.New(rand.NewPCG(w.Seed, 0))
+	w.rest, w.chance = w.Patience.rest, rand.New(rand.NewPCG(w.Seed, 0))
 	for {
 		call, stop := context.WithCancel(ctx)
-		c := ask{version: w.version, wait: watchWait, slack: watchSlack}
+		c := ask{version: w.version, wait: watchWait, slack: w.Patience.goOn}
 		if w.answers == 0 || c.version == none {
 			c.wait = 0 // whether there is news is known at once, and with it that the list can be used
 		}
 		if w.answers < 2 {
-			c.slack = firstSlack
+			c.slack = w.Patience.begin
 		}
 		go func(l *line) { w.mailbox <- w.call(call, l, c) }(held)
 		var r reply
@@ -236,14 +232,16 @@
 				event.DiscoveryFailed.Log(w.Addr, r.err)
 			}
 			failing = true
+			var rest time.Duration
+			rest, w.rest = w.Patience.rested(w.rest, w.chance.Float64())
 			select {
 			case <-ctx.Done():
 			case next := <-w.moves:
 				held = w.move(held, next)
-			case <-time.After(w.rest()):
+			case <-time.After(rest):
 			}
 		} else {
-			w.answers, w.pause = w.answers+1, pauseFirst
+			w.answers, w.rest = w.answers+1, w.Patience.rest
 		}
 	}
 	if held != nil {
@@ -259,17 +257,10 @@
 	}
 	event.DiscoveryMoved.Log(w.Addr, addr)
 	w.Counters.Add("discovery_moved", 1)
-	w.Addr, w.version, w.answers, w.pause = addr, none, 0, pauseFirst
+	w.Addr, w.version, w.answers, w.rest = addr, none, 0, w.Patience.rest
 	return nil
 }
 
-// rest is how long to wait before the next try.
-func (w *Watcher) rest() time.Duration {
-	pause := w.pause
-	w.pause = min(2*w.pause, pauseMost)
-	return time.Duration((0.5 + w.chance.Float64()) * float64(pause))
-}
-
 // turnedAway is the status of an answer that is no list.
 type turnedAway int
 
@@ -281,7 +272,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if l == nil {
-		disarm := w.Core.Arm(w.Core.Now()+dialLimit, cancel)
+		disarm := w.Core.Arm(w.Core.Now()+w.Patience.dial, cancel)
 		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", w.Addr)
 		disarm()
 		if err != nil {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -222,7 +222,7 @@
 	<-core.lists
 	<-core.armed                          // of the dial
 	for _, wait := range []int{0, 1000} { // a watch that begins may stand in a queue
-		if first := <-core.armed; first.at < time.Duration(wait)*time.Millisecond+firstSlack {
+		if first := <-core.armed; first.at < time.Duration(wait)*time.Millisecond+Queued.begin {
 			t.Errorf("a first call is given up after %v", first.at)
 		}
 		if got := <-paths; got != fmt.Sprint("/registry/instances?after=9&wait_ms=", wait) {
@@ -247,9 +247,10 @@
 func TestThoseTurnedAwayBackOff(t *testing.T) {
 	var rests [2][]time.Duration
 	for i := range rests {
-		w := &Watcher{pause: pauseFirst, chance: rand.New(rand.NewPCG(uint64(i), 0))}
-		for want := pauseFirst; len(rests[i]) < 9; want = min(2*want, pauseMost) {
-			rest := w.rest()
+		chance := rand.New(rand.NewPCG(uint64(i), 0))
+		var rest time.Duration
+		for next, want := Queued.rest, Queued.rest; len(rests[i]) < 9; want = min(2*want, Queued.most) {
+			rest, next = Queued.rested(next, chance.Float64())
 			if rest < want/2 || rest > want+want/2 {
 				t.Errorf("rests %v, want about %v", rest, want)
 			}
