One goroutine owns each client connection: its limits, its last answer, its end

Read line by line, these events could cross (internal/http1/server.go): - a limit that falls due while it is disarmed (arm, SetReadDeadline) ended the next state: a request that was being answered was dropped as if its client had gone. Limits now hold for one state (conn.phase). - a client that left behind bytes it had sent was not seen: Wait peeked one byte and stopped. What comes while a request is answered is read ahead, up to one message (conn.ahead), so that its end is seen. - the last answer of a connection was followed by a close at once: over unread bytes that is a reset, and the answer went with it. All ends now half-close, read on for 500 ms or 256 KiB at most, then close (part, linger). - an answer that kept its connection, written while the server stopped, left it waiting for 30 s (mark). Those turned away past the cap linger too, eight at a time.

--- /dev/null
+++ b/internal/http1/crossings_test.go
@@ -0,0 +1,204 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// until waits for something that is bound to come.
+func until(t *testing.T, what string, there func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); !there(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("never came: " + what)
+		}
+	}
+}
+
+// counted is a handler that counts, and answers once it may.
+func counted(may <-chan struct{}) (*atomic.Int64, HandlerFunc) {
+	n := new(atomic.Int64)
+	return n, func(context.Context, time.Duration, *Request) *Response {
+		n.Add(1)
+		<-may
+		return &Response{Status: 200, Body: []byte("last words")}
+	}
+}
+
+func open() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// lastWords reads an answer that has to be the last of its connection, and its end in good order.
+func lastWords(t *testing.T, r *Reader, status int) {
+	t.Helper()
+	if res, err := r.Response(); err != nil || res.Status != status || !res.Close {
+		t.Errorf("%+v %v, want a last %d", res, err, status)
+	}
+	if err := r.Wait(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended by %v", err)
+	}
+}
+
+// Crossing: the limit of a state falls due while the next has begun already. Guards a request
+// that was taken: it used to be dropped as if its client had gone.
+func TestALimitThatFiresLateEndsNothing(t *testing.T) {
+	may := make(chan struct{})
+	n, h := counted(may)
+	s, addr := serve(t, h, 9, func(s *Server) { s.Clock = &clock{late: true} })
+	nc, r := dial(t, addr)
+	_ = WriteRequest(nc, "POST", "/", "x", nil, []byte("hello"))
+	until(t, "the request", func() bool { return n.Load() == 1 })
+	s.Clock.(*clock).pass(FirstLimit) // of the wait and of the request, both over
+	may <- struct{}{}
+	if res, err := r.Response(); err != nil || res.Status != 200 || res.Close {
+		t.Fatalf("%+v %v", res, err)
+	}
+	until(t, "rest", func() bool { return s.at(idle) })
+	_ = WriteRequest(nc, "POST", "/", "x", nil, nil)
+	may <- struct{}{}
+	if res, err := r.Response(); err != nil || res.Status != 200 {
+		t.Errorf("the next: %+v %v", res, err)
+	}
+}
+
+// Crossing: a client leaves, behind bytes that it has sent already.
+func TestAClientIsSeenToLeaveBehindWhatItSent(t *testing.T) {
+	gone := make(chan struct{}, 9)
+	_, addr := serve(t, func(ctx context.Context, _ time.Duration, _ *Request) *Response {
+		select {
+		case <-ctx.Done():
+			gone <- struct{}{}
+		case <-time.After(20 * time.Second):
+		}
+		return &Response{Status: 200}
+	}, 9)
+	for _, behind := range []string{"", sized, sized + "POST /half", strings.Repeat("x", 30<<10)} {
+		nc, _ := dial(t, addr)
+		_, _ = io.WriteString(nc, sized+behind)
+		_ = nc.Close()
+		select {
+		case <-gone:
+		case <-time.After(10 * time.Second):
+			t.Errorf("with %d bytes behind its request it was not seen to leave", len(behind))
+		}
+	}
+}
+
+// Crossing: the last answer of a connection is written while bytes lie there unread.
+func TestALastAnswerArrivesOverUnreadBytes(t *testing.T) {
+	may := make(chan struct{})
+	n, h := counted(may)
+	s, addr := serve(t, h, 9)
+	nc, r := dial(t, addr)
+	_, _ = io.WriteString(nc, sized+strings.Repeat(sized, aheadLimit/len(sized)+99)) // more than is read ahead
+	until(t, "the request", func() bool { return n.Load() == 1 })
+	s.Drain()
+	close(may)
+	until(t, "the end", func() bool { return s.at(parting) || s.held() == 0 })
+	lastWords(t, r, 200)
+	_ = nc.Close()
+	until(t, "the place", func() bool { return s.held() == 0 })
+	if n.Load() != 1 {
+		t.Errorf("%d requests were taken; those behind the last answer must not be", n.Load())
+	}
+}
+
+// The same for those that find no room.
+func TestThoseTurnedAwayAreToldOverUnreadBytes(t *testing.T) {
+	may := make(chan struct{})
+	n, h := counted(may)
+	s, addr := serve(t, h, 1)
+	first, _ := dial(t, addr)
+	_ = WriteRequest(first, "POST", "/", "x", nil, nil)
+	until(t, "the first", func() bool { return n.Load() == 1 })
+	for range lingerOver {
+		nc, r := dial(t, addr)
+		_, _ = io.WriteString(nc, sized)
+		if res, err := r.Response(); err != nil || res.Status != 503 {
+			t.Errorf("%+v %v", res, err)
+		}
+		_, _ = io.WriteString(nc, sized) // would meet a reset
+		if err := r.Wait(); !errors.Is(err, io.EOF) {
+			t.Errorf("ended by %v", err)
+		}
+	}
+	one, r := dial(t, addr) // so many linger at a time: the next is closed at once
+	if res, err := r.Response(); err != nil || res.Status != 503 {
+		t.Errorf("%+v %v", res, err)
+	}
+	_ = one.Close()
+	s.Clock.(*clock).pass(lingerLimit)
+	until(t, "their end", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.over == 0 })
+	close(may)
+}
+
+// Crossing: bytes arrive before, with and after the close of a resting connection. What is there when
+// the wait ends is taken and answered; what comes later is read by nobody, and the client sees the end.
+func TestBytesAtTheCloseOfARestingConnection(t *testing.T) {
+	n, h := counted(open())
+	s, addr := serve(t, h, 9)
+	rest := func() (net.Conn, *Reader) {
+		nc, r := dial(t, addr)
+		_ = WriteRequest(nc, "POST", "/", "x", nil, nil)
+		if res, err := r.Response(); err != nil || res.Close {
+			t.Fatalf("%+v %v", res, err)
+		}
+		return nc, r
+	}
+	after, afterReader := rest()
+	until(t, "rest", func() bool { return s.at(idle) })
+	s.Drain()
+	s.Clock.(*clock).pass(idleGrace)
+	until(t, "the end", func() bool { return s.at(parting) })
+	_, _ = io.WriteString(after, sized) // after it
+	if err := afterReader.Wait(); !errors.Is(err, io.EOF) {
+		t.Errorf("ended by %v", err)
+	}
+	_ = after.Close()
+	until(t, "the place", func() bool { return s.held() == 0 })
+	if n.Load() != 1 {
+		t.Errorf("a request was taken after the connection was shut: %d", n.Load())
+	}
+	s.Resume()
+	half, halfReader := rest()
+	_, _ = io.WriteString(half, sized[:len(sized)-1]) // before it, but for the last byte
+	until(t, "half a request", func() bool { return s.at(reading) })
+	s.Drain()
+	s.Clock.(*clock).pass(idleGrace)
+	_, _ = io.WriteString(half, sized[len(sized)-1:]+sized) // with it, and another behind
+	lastWords(t, halfReader, 200)
+	_ = half.Close()
+	s.Resume()
+	never, neverReader := rest()
+	_, _ = io.WriteString(never, sized[:len(sized)-1])
+	until(t, "half a request", func() bool { return s.at(reading) })
+	s.Drain()
+	s.Clock.(*clock).pass(stuckLimit)
+	lastWords(t, neverReader, 408)
+	if n.Load() != 4 {
+		t.Errorf("%d requests were taken, want 4", n.Load())
+	}
+}
+
+// Crossing: the server stops while an answer is written that was to keep its connection.
+func TestAConnectionThatRestsOnceTheServerHasStoppedIsEnded(t *testing.T) {
+	s := &Server{Name: "test", Clock: new(clock), stopped: true}
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	c := &conn{Conn: ours, server: s, state: serving, ahead: ahead{Reader: ours}}
+	if !s.mark(c, idle) {
+		t.Fatal("its own goroutine alone closes it")
+	}
+	if err := c.await(NewReader(&c.ahead, 0), IdleLimit); err == nil {
+		t.Error("it waits for a request that nobody would answer")
+	}
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -104,9 +104,10 @@
 
 // clock stands still unless a test moves it on; what falls due then fires.
 type clock struct {
-	mu  sync.Mutex
-	now time.Duration
-	due map[*time.Duration]func()
+	mu   sync.Mutex
+	now  time.Duration
+	late bool // what was disarmed fires all the same, as with a clock that is told too late
+	due  map[*time.Duration]func()
 }
 
 func (c *clock) Now() time.Duration { c.mu.Lock(); defer c.mu.Unlock(); return c.now }
@@ -121,7 +122,13 @@
 		c.due = map[*time.Duration]func(){}
 	}
 	c.due[&at] = fire
-	return func() { c.mu.Lock(); delete(c.due, &at); c.mu.Unlock() }
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.late {
+			delete(c.due, &at)
+		}
+	}
 }
 func (c *clock) pass(d time.Duration) {
 	c.mu.Lock()
@@ -214,6 +221,7 @@
 	if res, err := r.Response(); err != nil || res.Status != 200 || !res.Close {
 		t.Errorf("within the drain: %+v %v", res, err)
 	}
+	_ = nc.Close()     // told that it is the last answer; until then the server only reads on
 	for s.held() > 1 { // the one that has ended must leave its place first
 		time.Sleep(time.Millisecond)
 	}
@@ -330,7 +338,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &conn{Conn: there, server: s}
+	c := &conn{Conn: there, server: s, ahead: ahead{Reader: there}}
 	for !c.pending() {
 		time.Sleep(time.Millisecond)
 	}
@@ -339,8 +347,11 @@
 	if !s.enter(c) {
 		t.Fatal("no room")
 	}
-	c.serve()
+	done := make(chan struct{})
+	go func() { defer close(done); c.serve() }()
 	if res, err := r.Response(); err != nil || res.Status != 200 || !res.Close {
 		t.Errorf("%+v %v", res, err)
 	}
+	_ = nc.Close()
+	<-done
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -4,13 +4,10 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
-	"net/textproto"
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"linkpass/internal/counters"
@@ -44,8 +41,10 @@
 	MessageLimit = 2 * time.Second         // from a later request's first byte to its last
 	IdleLimit    = 30 * time.Second        // between requests
 	WriteLimit   = 5 * time.Second
-	lingerLimit  = 500 * time.Millisecond // for a client to read why it is closed
+	lingerLimit  = 500 * time.Millisecond // for a client to read the last that it is told, and to close
 	lingerBytes  = 256 << 10              // of what it still sends are read meanwhile
+	lingerOver   = 8                      // connections past the cap that may linger at a time
+	aheadLimit   = MaxHeader + MaxBody    // bytes behind a request that are read while it is answered
 	silentLimit  = 250 * time.Millisecond // a new connection that has said nothing for so long goes first
 	stuckLimit   = time.Second            // a request so long on its way makes room for others
 
@@ -71,6 +70,7 @@
 	draining bool
 	round    int // of draining: what was armed in an earlier one is void
 	stopped  bool
+	over     int // connections past the cap that linger
 	wg       sync.WaitGroup
 }
 
@@ -82,21 +82,15 @@
 	idle                 // between two requests
 	reading              // a request has begun to come
 	serving              // a request is being answered
-	closing              // ended, or to be ended by its own goroutine
+	parting              // nothing is written any more; what still comes is read and dropped
+	closing              // closed by another goroutine than its own
 )
 
-type conn struct {
-	net.Conn
-	server *Server
-	state  state // with since guarded by the server's mutex
-	since  time.Duration
-}
-
-// Serve accepts until the listener is closed.
+// Serve accepts until the listener is closed or its deadline has passed.
 func (s *Server) Serve(ln net.Listener) error {
 	for {
 		nc, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
@@ -108,10 +102,10 @@
 		}
 		s.Counters.Add(s.Name+"_conns", 1)
 		c := &conn{Conn: nc, server: s, since: s.Clock.Now()}
+		c.ahead.Reader = nc
 		if !s.enter(c) {
 			s.Counters.Add(s.Name+"_conns_over", 1)
-			_ = WriteResponse(nc, &Response{Status: 503, Close: true}) // a new connection has room for so little
-			_ = nc.Close()
+			s.turnAway(c)
 			continue
 		}
 		go c.serve()
@@ -135,13 +129,40 @@
 	return true
 }
 
-// evict closes the connection that can best be spared: a new one that stays
-// silent, then the one idle for longest, then any new one, then one whose
-// request has been coming for too long. It tells whether there was one.
+// turnAway tells a connection past the cap that there is no room. Its request is most likely
+// there already, so that it has to linger; so many may.
+func (s *Server) turnAway(c *conn) {
+	_ = WriteResponse(c, &Response{Status: 503, Close: true}) // a new connection has room for so little
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over == lingerOver || s.stopped {
+		_ = c.Close()
+		return
+	}
+	s.over++
+	s.wg.Add(1)
+	go func() {
+		c.linger()
+		_ = c.Close()
+		s.mu.Lock()
+		s.over--
+		s.mu.Unlock()
+		s.wg.Done()
+	}()
+}
+
+// evict closes the connection that can best be spared: one that only lingers, a new one
+// that stays silent, then the one idle for longest, then any new one, then one whose
+// request has been coming for too long. One whose next request has come already is at
+// work. It tells whether there was one.
 func (s *Server) evict() bool {
 	now := s.Clock.Now()
 	rank := func(c *conn) int {
 		switch age := now - c.since; {
+		case c.state == parting:
+			return 5
+		case (c.state == fresh || c.state == idle) && c.pending():
+			return 0
 		case c.state == fresh && age >= silentLimit:
 			return 4
 		case c.state == idle:
@@ -175,16 +196,19 @@
 	_ = c.Close()
 }
 
-// mark notes what a connection is at, and tells whether it may go on.
+// mark notes what a connection is at, and tells whether it may go on. What was to end the
+// state before is void from here on: whichever of the two comes first holds.
 func (s *Server) mark(c *conn, to state) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == closing || s.draining && to == idle {
+	if c.state == closing {
 		return false
 	}
 	c.state, c.since = to, s.Clock.Now()
-	if to == reading {
-		_ = c.SetReadDeadline(time.Time{}) // what was to end the wait must not end the request
+	c.phase++
+	_ = c.SetReadDeadline(time.Time{})
+	if to == idle && s.stopped { // nobody looks at it again
+		c.expire()
 	}
 	return true
 }
@@ -267,6 +291,7 @@
 // Serve must have returned. It needs the clock no more.
 func (s *Server) Close() {
 	s.mu.Lock()
+	s.draining, s.stopped = true, true
 	for c := range s.conns {
 		_ = c.Close()
 	}
@@ -280,155 +305,3 @@
 	defer s.mu.Unlock()
 	return s.draining
 }
-
-// expire ends the wait for bytes; it never blocks. Whether the connection is then
-// closed is up to its own goroutine.
-func (c *conn) expire() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
-
-// pending tells whether bytes wait that were not read yet.
-func (c *conn) pending() (some bool) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	_ = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == nil && n > 0
-	})
-	return some
-}
-
-// serve reads requests one after another. While one is being answered the next
-// byte is awaited, which shows at once when the client goes away.
-func (c *conn) serve() {
-	s := c.server
-	defer func() {
-		_ = c.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-		s.wg.Done()
-	}()
-	reader := NewReader(c, s.MaxBody)
-	reader.Spools = s.Spools
-	next := make(chan error, 1)
-	await := func() { next <- reader.Wait() }
-	go await()
-	limit := s.Clock.Now() + FirstLimit
-	for first := true; ; first = false {
-		if !first {
-			limit = s.Clock.Now() + IdleLimit
-		}
-		disarm := s.Clock.Arm(limit, c.expire)
-		err := <-next
-		for errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
-			// Guards a request on its way against the close of an idle connection.
-			_ = c.SetReadDeadline(time.Time{})
-			err = reader.Wait()
-		}
-		disarm()
-		if err != nil || !s.mark(c, reading) {
-			return
-		}
-		began := s.Clock.Now()
-		if !first {
-			limit = began + MessageLimit
-		}
-		disarm = s.Clock.Arm(limit, c.expire)
-		req, err := reader.Request()
-		disarm()
-		if err != nil {
-			c.complain(err)
-			return
-		}
-		if !s.mark(c, serving) {
-			return
-		}
-		s.Counters.Add(s.Name+"_requests", 1)
-		ctx, gone := context.WithCancel(context.Background())
-		served := make(chan bool, 1)
-		go func() { served <- c.answer(ctx, began, req) }()
-		go await()
-		var alive bool
-		select {
-		case err := <-next:
-			if err != nil {
-				gone()
-			}
-			next <- err
-			alive = <-served
-		case alive = <-served:
-		}
-		gone()
-		if !alive || !s.mark(c, idle) {
-			_ = c.Close() // ends the wait for the next byte
-			<-next
-			return
-		}
-	}
-}
-
-// answer writes the answer to one request and tells whether the connection may
-// carry another.
-func (c *conn) answer(ctx context.Context, began time.Duration, req *Request) bool {
-	res := c.server.Handler.Serve(ctx, began, req)
-	if req.Spool != nil {
-		req.Spool.Abort() // whatever the handler has made use of stays
-	}
-	if ctx.Err() != nil {
-		c.server.Counters.Add(c.server.Name+"_unread", 1)
-		return false
-	}
-	res.Close = res.Close || req.Close || c.server.Draining()
-	return c.write(res) && !res.Close
-}
-
-func (c *conn) write(res *Response) bool {
-	disarm := c.server.Clock.Arm(c.server.Clock.Now()+WriteLimit, func() { _ = c.Close() })
-	err := WriteResponse(c, res)
-	disarm()
-	if err != nil {
-		c.server.Counters.Add(c.server.Name+"_write_failed", 1)
-		return false
-	}
-	return true
-}
-
-// complain tells a client what was wrong with a request whose framing is lost,
-// or that it took too long.
-func (c *conn) complain(err error) {
-	var bad *Error
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		bad = &Error{Status: 408, Reason: "the request took too long to come"}
-	} else if !errors.As(err, &bad) {
-		return // cut short: nobody is there to be told
-	}
-	c.server.Counters.Add(c.server.Name+"_malformed", 1)
-	c.server.lines.Log(event.RequestMalformed, c.server.Name, bad.Status, bad.Reason)
-	res := &Response{Status: bad.Status, Close: true, Body: []byte(bad.Reason + "\n")}
-	if bad.RetryAfter != "" {
-		res.Header = textproto.MIMEHeader{"Retry-After": {bad.RetryAfter}}
-	}
-	if c.write(res) {
-		c.linger()
-	}
-}
-
-// linger reads on for a moment before the close: closed over bytes unread, a
-// connection is reset, and the client loses what it was told. What is read, and
-// for how long, is bounded.
-func (c *conn) linger() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	_ = c.SetReadDeadline(time.Time{})
-	disarm := c.server.Clock.Arm(c.server.Clock.Now()+lingerLimit, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
-	defer disarm()
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
-}
