A connection whose place is wanted decides itself whether it goes

Seen by reading: at the cap evict looked for bytes at the socket and, finding none, closed a resting connection at once. A request whose bytes its goroutine had read already, but not yet booked (between reader.Wait and mark(reading)), lost its connection with nothing told, though it was read. At fault: internal/http1/server.go, evict and end: two goroutines decided on one connection. Change: evict asks (expire) and waits until the owner has left its state, which it does at once; it closes only those that linger. A request that came too slowly is told 408 there, and no longer cut off.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -66,6 +66,8 @@
 		_ = c.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
+		c.phase++
+		s.moved.Broadcast()
 		s.mu.Unlock()
 		s.wg.Done()
 	}()
@@ -175,8 +177,8 @@
 	if bad.RetryAfter != "" {
 		res.Header = textproto.MIMEHeader{"Retry-After": {bad.RetryAfter}}
 	}
-	if c.write(res) {
-		c.part()
+	if c.server.mark(c, parting) && c.write(res) {
+		c.linger()
 	}
 }
 
--- a/internal/http1/crossings_test.go
+++ b/internal/http1/crossings_test.go
@@ -202,3 +202,75 @@
 		t.Error("it waits for a request that nobody would answer")
 	}
 }
+
+// asked is a listener whose connections tell when they are asked to end.
+type asked struct {
+	net.Listener
+	told chan struct{}
+}
+
+type askedConn struct {
+	*net.TCPConn
+	told chan struct{}
+}
+
+func (l asked) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return askedConn{nc.(*net.TCPConn), l.told}, nil
+}
+
+func (c askedConn) SetReadDeadline(at time.Time) error {
+	err := c.TCPConn.SetReadDeadline(at)
+	if !at.IsZero() {
+		c.told <- struct{}{}
+	}
+	return err
+}
+
+func (c askedConn) Close() error { c.told <- struct{}{}; return c.TCPConn.Close() }
+
+// Crossing: a resting connection's place is wanted while its next request, read off the socket already, is
+// about to be taken. It used to be closed, and the request with it.
+func TestARequestThatWasReadOutlivesTheWantOfItsPlace(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, h := counted(open())
+	told := make(chan struct{}, 99)
+	s, addr := serveOn(t, asked{ln, told}, h, 1)
+	nc, r := dial(t, addr)
+	_ = WriteRequest(nc, "POST", "/", "x", nil, nil)
+	if res, err := r.Response(); err != nil || res.Status != 200 {
+		t.Fatalf("%+v %v", res, err)
+	}
+	until(t, "rest", func() bool { return s.at(idle) })
+	for len(told) > 0 {
+		<-told
+	}
+	hold, c := make(chan struct{}), s.Clock.(*clock)
+	c.mu.Lock()
+	c.hold = hold
+	c.mu.Unlock()
+	_, _ = io.WriteString(nc, sized)
+	<-hold // its bytes are read; that its limit is void is not yet booked
+	other, otherReader := dial(t, addr)
+	<-told // its place is wanted
+	c.mu.Lock()
+	c.hold = nil
+	c.mu.Unlock()
+	hold <- struct{}{}
+	if res, err := r.Response(); err != nil || res.Status != 200 {
+		t.Errorf("the request that was read: %+v %v", res, err)
+	}
+	_ = WriteRequest(other, "POST", "/", "x", nil, nil)
+	if _, err := otherReader.Response(); err != nil { // answered, or told that there is no room
+		t.Error(err)
+	}
+	if n.Load() < 2 {
+		t.Errorf("%d requests were taken", n.Load())
+	}
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -108,6 +108,7 @@
 	now  time.Duration
 	late bool // what was disarmed fires all the same, as with a clock that is told too late
 	due  map[*time.Duration]func()
+	hold chan struct{} // nil: disarming does not wait; otherwise it is told of, and waits for a second word
 }
 
 func (c *clock) Now() time.Duration { c.mu.Lock(); defer c.mu.Unlock(); return c.now }
@@ -123,6 +124,13 @@
 	}
 	c.due[&at] = fire
 	return func() {
+		c.mu.Lock()
+		hold := c.hold
+		c.mu.Unlock()
+		if hold != nil {
+			hold <- struct{}{}
+			<-hold
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if !c.late {
@@ -152,6 +160,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveOn(t, ln, h, conns, changes...)
+}
+
+func serveOn(t *testing.T, ln net.Listener, h HandlerFunc, conns int, changes ...func(*Server)) (*Server, string) {
 	s := &Server{Name: "test", Handler: h, Clock: new(clock), Counters: counters.New(), MaxConns: conns}
 	for _, change := range changes {
 		change(s)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -66,6 +66,7 @@
 
 	lines    event.Lines // on requests that can't be read
 	mu       sync.Mutex
+	moved    sync.Cond // on mu: some connection has left its state, or ended
 	conns    map[*conn]bool
 	draining bool
 	round    int // of draining: what was armed in an earlier one is void
@@ -82,8 +83,8 @@
 	idle                 // between two requests
 	reading              // a request has begun to come
 	serving              // a request is being answered
-	parting              // nothing is written any more; what still comes is read and dropped
-	closing              // closed by another goroutine than its own
+	parting              // no request is taken any more; what still comes is read and dropped
+	closing              // parted, and closed by another goroutine to free its place
 )
 
 // Serve accepts until the listener is closed or its deadline has passed.
@@ -119,10 +120,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
-		s.conns = map[*conn]bool{}
+		s.conns, s.moved.L = map[*conn]bool{}, &s.mu
 	}
-	if len(s.conns) >= s.MaxConns && !s.evict() {
-		return false
+	for len(s.conns) >= s.MaxConns {
+		if !s.evict() {
+			return false
+		}
 	}
 	s.conns[c] = true
 	s.wg.Add(1)
@@ -151,10 +154,11 @@
 	}()
 }
 
-// evict closes the connection that can best be spared: one that only lingers, a new one
-// that stays silent, then the one idle for longest, then any new one, then one whose
-// request has been coming for too long. One whose next request has come already is at
-// work. It tells whether there was one.
+// evict frees the place of the connection that can best be spared: one that only lingers,
+// a new one that stays silent, then the one idle for longest, then any new one, then one whose
+// request has been coming for too long. Only one that lingers is closed here. The others are
+// asked to end, and each decides for itself, at once: one that has a request by then is at work
+// after all. It tells whether there was one to ask.
 func (s *Server) evict() bool {
 	now := s.Clock.Now()
 	rank := func(c *conn) int {
@@ -184,18 +188,22 @@
 	if victim == nil {
 		return false
 	}
-	s.Counters.Add(s.Name+"_conns_evicted", 1)
-	s.end(victim)
+	if victim.state == parting {
+		victim.state = closing
+		delete(s.conns, victim)
+		_ = victim.Close()
+		return true
+	}
+	victim.expire()
+	for phase := victim.phase; victim.phase == phase; { // it is woken now, and leaves its state
+		s.moved.Wait()
+	}
+	if !s.conns[victim] || victim.state == parting {
+		s.Counters.Add(s.Name+"_conns_evicted", 1)
+	}
 	return true
 }
 
-// end closes a connection that is not at work; its place is free at once.
-func (s *Server) end(c *conn) {
-	c.state = closing
-	delete(s.conns, c)
-	_ = c.Close()
-}
-
 // mark notes what a connection is at, and tells whether it may go on. What was to end the
 // state before is void from here on: whichever of the two comes first holds.
 func (s *Server) mark(c *conn, to state) bool {
@@ -206,6 +214,7 @@
 	}
 	c.state, c.since = to, s.Clock.Now()
 	c.phase++
+	s.moved.Broadcast()
 	_ = c.SetReadDeadline(time.Time{})
 	if to == idle && s.stopped { // nobody looks at it again
 		c.expire()
