Just before each write it is asked again whether a part may still go out, and as what

Which events could cross: - A repeat within a keyed class's window is decided now and written when its connection is up, up to connect_timeout later: past the window by then. Send.Until says so to the host; peer asks before the write. - A client leaves while its part waits for a connection: written all the same where nothing can be called back (bounds.cancel=false), up to connect_timeout later. Core.finish marks what is out; peer asks before the write. - Further attempts are counted for the budget when they are decided, and by the rule when they are written: budgetSpans counts what allows them over less, and what they add to over more, by WriteLag (connect_timeout). - A server closes a connection while a call waits in the mailbox: the news stood behind the call, which was written and lost. News of connections go first (peer.news, hear). - A body that is cut short ended the other parts out on its connection as never run (Withheld), so that an unsafe one could be sent again: they end as closed now (stream.how). At fault: router.go mayResend and send, coordinator.go finish, peer.go run and drop, stream.go how. Replaced parts keep until when they may be repeated (router.go replace).

Tests, each failing without its mend (tried by taking it out): TestAKeyedAttemptSaysUntilWhenItMayBeWritten, TestTheBudgetHoldsWhenAttemptsAreWritten, TestWhatIsNotYetWrittenNeverIsOnceItsClientHasGone, TestACallThatWaitsBehindTheEndOfItsConnection (always with one mailbox, every other time without hear alone), TestAConnectionThatComesUpLate, TestABodyThatIsCutSaysNothingOfTheOthers. TestSmallWritesAreNotHeldBack holds TCP_NODELAY. The example prints Until too.

--- a/api.go
+++ b/api.go
@@ -57,6 +57,17 @@
 	Stream     bool          // the same
 }
 
+// forever is further off than any time that the module works with.
+const forever = 1e6 * time.Hour
+
+// repeatable is until when a further attempt may be written, if a first one that may have run is sent now.
+func (c Class) repeatable(now time.Duration) time.Duration {
+	if c.Effect == Keyed {
+		return now + c.Window
+	}
+	return forever
+}
+
 // Tenant describes one tenant's share.
 type Tenant struct {
 	QuotaPerSecond float64 // over all front nodes
@@ -104,6 +115,14 @@
 	BudgetWindow time.Duration // 0: no budget of further attempts
 	BudgetFree   float64
 	BudgetShare  float64
+
+	WriteLag time.Duration // an attempt may be written so long after it is decided
+}
+
+// budgetSpans are the times over which queries taken and further attempts are counted for the budget. Attempts
+// count when they are written, and that may be WriteLag later: by then more may be behind them, and queries forgotten.
+func (s Settings) budgetSpans() (taken, further time.Duration) {
+	return max(0, s.BudgetWindow-s.WriteLag), s.BudgetWindow + s.WriteLag
 }
 
 // Event is something the front node learned.
@@ -264,6 +283,7 @@
 	ID      RequestID
 	Server  ServerID
 	Timeout time.Duration // 0: until the client's time is up
+	Until   time.Duration // by the clock of the turns: not to be written from then on
 }
 
 // Cancel abandons the wait for one attempt.
--- a/example_test.go
+++ b/example_test.go
@@ -35,6 +35,6 @@
 		Took: 70 * time.Millisecond})
 	// Output:
 	// 1s: linkpass.Probe{Server:7}
-	// 1.005s: linkpass.Send{ID:101 Server:7 Timeout:1.995s}
+	// 1.005s: linkpass.Send{ID:101 Server:7 Timeout:1.995s Until:1000000h0m0s}
 	// 1.08s: linkpass.Answer{ID:100 Whole:true}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -140,7 +140,8 @@
 	Shard      int
 	Text       []byte
 	Body       Body          // in place of Text; nil: none
-	Ends       time.Duration // nothing may be written from then on
+	Ends       time.Duration // the client's time is up: nothing may be written from then on
+	Until      time.Duration // the same, as what may have run may be repeated for so long only; 0: no such limit
 	Ask        *Ask
 	over       *atomic.Bool
 	gone       *atomic.Bool
@@ -149,7 +150,12 @@
 // Gone tells whether the server has given the part's slice up; it may be asked anywhere.
 func (a Attempt) Gone() bool { return a.gone != nil && a.gone.Load() }
 
-// Dead tells whether the attempt has ended already; it may be asked anywhere.
+// Late tells whether it is too late to write it.
+func (a Attempt) Late(now time.Duration) bool {
+	return now >= a.Ends || a.Until > 0 && now >= a.Until
+}
+
+// Dead tells whether the attempt, or its query, has ended already; it may be asked anywhere.
 func (a Attempt) Dead() bool { return a.over != nil && a.over.Load() }
 
 // Member is one line of the server list.
@@ -270,7 +276,7 @@
 	server linkpass.ServerID
 	sent   time.Duration
 	due    *deadline.Entry
-	over   atomic.Bool // told to the links, which may still hold it back from the wire
+	over   atomic.Bool // it or its query: told to the links, which may still hold it back from the wire
 	gone   atomic.Bool // the same: its slice has left the server
 }
 
@@ -562,7 +568,7 @@
 }
 
 // finish gives a query its one answer and forgets it. Attempts that are out
-// stay until they end.
+// stay until they end; what is not written yet never will be.
 func (c *Core) finish(q *query, a Answer) {
 	if c.queries[q.id] == nil {
 		return
@@ -572,6 +578,11 @@
 	a.TimedOut = a.TimedOut || c.Now() >= q.ends-2*c.set.Tick
 	for _, p := range q.parts {
 		delete(c.parts, p.id)
+		for no := range p.attempts {
+			if at := c.attempts[AttemptID{p.id, no}]; at != nil {
+				at.over.Store(true)
+			}
+		}
 		switch {
 		case p.in && a.Verdict == Answered:
 			a.Values = append(a.Values, p.value)
@@ -705,7 +716,7 @@
 		c.ended(at.id, Result{End: end.Silent, At: c.Now()})
 	})
 	out := Attempt{ID: at.id, Query: p.query.Name, Collection: p.query.Collection, Shard: p.Shard, Text: p.Text,
-		Body: p.query.Body, Ends: p.query.ends, Ask: p.Ask, over: &at.over, gone: &at.gone}
+		Body: p.query.Body, Ends: p.query.ends, Until: a.Until, Ask: p.Ask, over: &at.over, gone: &at.gone}
 	for i := range c.calls {
 		if c.calls[i].server == a.Server && len(c.calls[i].attempts) < c.set.CallParts {
 			c.calls[i].attempts = append(c.calls[i].attempts, out)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -61,11 +61,17 @@
 
 // bench runs a core in a bubble of its own time.
 func bench(t *testing.T, f func(*links, func(time.Duration, ...Part) (*[]Answer, func()))) {
+	benchWith(t, func(*linkpass.Settings) {}, f)
+}
+
+// benchWith is the same with other settings.
+func benchWith(t *testing.T, change func(*linkpass.Settings), f func(*links, func(time.Duration, ...Part) (*[]Answer, func()))) {
 	synctest.Test(t, func(t *testing.T) {
 		set := linkpass.Settings{Tick: 5 * time.Millisecond, Peers: 1, Shards: 4, Cells: 2, Reach: 1, Probes: true,
 			Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3, CallParts: 1,
 			ReportFields: []linkpass.ReportField{linkpass.FieldInflight}, AnswerSlack: 20 * time.Millisecond,
 			Classes: []linkpass.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+		change(&set)
 		core, err := New(Config{Settings: set, Seed: 7, ProbeTimeout: 250 * time.Millisecond, Counters: counters.New(), Figures: counters.NewFigures(make([]string, len(set.Classes)))})
 		if err != nil {
 			t.Fatal(err)
@@ -179,6 +185,32 @@
 	})
 }
 
+// Crossing: a client goes while its parts are decided and not yet written, as where a connection comes up
+// late. They never will be, also where nothing can be called back.
+func TestWhatIsNotYetWrittenNeverIsOnceItsClientHasGone(t *testing.T) {
+	benchWith(t, func(set *linkpass.Settings) { set.Cancel = false }, func(l *links, ask func(time.Duration, ...Part) (*[]Answer, func())) {
+		answers, leave := ask(2*time.Second, two...)
+		settle(50 * time.Millisecond)
+		leave()
+		settle(20 * time.Millisecond)
+		one(t, answers, Failed)
+		list := l.taken()
+		if len(list) != 2 || len(l.cancels) != 0 {
+			t.Fatalf("%d attempts out, %d called back", len(list), len(l.cancels))
+		}
+		for _, a := range list {
+			if !a.Dead() {
+				t.Errorf("%v may still be written", a.ID)
+			}
+		}
+		l.answer(list, end.Withheld)
+		settle(50 * time.Millisecond)
+		if n := len(l.taken()); n != 2 {
+			t.Errorf("%d attempts", n)
+		}
+	})
+}
+
 func TestClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, err := New(Config{Settings: linkpass.Settings{Peers: 1, Shards: 1, Cells: 1, Reach: 1,
--- /dev/null
+++ b/internal/peer/crossings_test.go
@@ -0,0 +1,170 @@
+package peer_test
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/end"
+	"linkpass/internal/frame"
+	"linkpass/internal/peer"
+)
+
+// stage is a sink whose events the test puts in order: it can hold up the actor and the dials.
+type stage struct {
+	now    atomic.Int64
+	ended  chan coordinator.Result // without room: whoever tells waits for the test
+	late   chan struct{}           // nil: the first dial goes on at once; otherwise it waits for a word
+	dialed atomic.Bool
+}
+
+func (s *stage) Now() time.Duration { return time.Duration(s.now.Load()) }
+func (s *stage) Arm(time.Duration, func()) func() {
+	if s.late != nil && s.dialed.CompareAndSwap(false, true) {
+		<-s.late
+	}
+	return func() {}
+}
+func (s *stage) Ended(_ coordinator.AttemptID, r coordinator.Result) { s.ended <- r }
+func (s *stage) ProbeEnded(uint64, coordinator.Result)               {}
+func (s *stage) Written(coordinator.AttemptID)                       {}
+
+const (
+	dialTime = 250 * time.Millisecond
+	patience = 10 * time.Second // with what is bound to come
+)
+
+func play(t *testing.T, s *stage) (p *peer.Peer, ln net.Listener) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.ended = make(chan coordinator.Result)
+	p = peer.New(peer.Config{Sink: s, Counters: counters.New(), Figures: counters.NewFigures(nil), ConnectTimeout: dialTime},
+		frame.Dialect{MaxStreams: 2}, "s-1", ln.Addr().String())
+	p.Fit(true)
+	t.Cleanup(func() {
+		ln.Close()
+		p.Close()
+		go func() {
+			for range s.ended {
+			}
+		}()
+		p.Wait()
+		close(s.ended)
+	})
+	return p, ln
+}
+
+func part(query string, no int) []coordinator.Attempt {
+	return []coordinator.Attempt{{ID: coordinator.AttemptID{Part: 1, No: no}, Query: query, Text: []byte("x"), Ends: time.Hour}}
+}
+
+func accept(t *testing.T, ln net.Listener) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return nc, bufio.NewReader(nc)
+}
+
+// next is the query whose part comes next on a connection.
+func next(t *testing.T, r *bufio.Reader) string {
+	t.Helper()
+	_, rest, err := frame.Read(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(rest[:1])
+}
+
+func want(t *testing.T, s *stage, e end.End) {
+	t.Helper()
+	select {
+	case r := <-s.ended:
+		if r.End != e {
+			t.Fatalf("ended as %s, want %s", r.End, e)
+		}
+	case <-time.After(patience):
+		t.Fatalf("never ended; want %s", e)
+	}
+}
+
+// Crossing: a server closes a connection while a call for it waits already. What is known of the
+// connection goes first, so the part goes out on another; it used to be written there and lost.
+func TestACallThatWaitsBehindTheEndOfItsConnection(t *testing.T) {
+	s := &stage{}
+	p, ln := play(t, s)
+	p.Call(part("a", 0))
+	first, r := accept(t, ln)
+	next(t, r)
+	_, _ = first.Write(frame.Append(nil, frame.Answer, []byte("a.0 200 1 -\nv")))
+	want(t, s, end.Served)
+	late := part("l", 1)
+	late[0].Ends = 0
+	p.Call(late) // the actor waits for the test to hear of its end
+	p.Call(part("b", 2))
+	_ = first.Close()
+	for p.News() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	want(t, s, end.Withheld)
+	second, r := accept(t, ln)
+	if got := next(t, r); got != "b" {
+		t.Errorf("%q came", got)
+	}
+	_, _ = second.Write(frame.Append(nil, frame.Answer, []byte("b.0 200 1 -\nv")))
+	want(t, s, end.Served)
+}
+
+// Crossing: a connection comes up after the time until which what may have run may be repeated, or after
+// the server began to drain. Nothing of it is written, and the attempt is said never to have run.
+func TestAConnectionThatComesUpLate(t *testing.T) {
+	for _, drains := range []bool{false, true} {
+		s := &stage{late: make(chan struct{})}
+		p, ln := play(t, s)
+		list := part("a", 1)
+		list[0].Until = 100 * time.Millisecond
+		p.Call(list)
+		if drains {
+			p.Fit(false)
+		} else {
+			s.now.Store(int64(100 * time.Millisecond))
+		}
+		s.late <- struct{}{}
+		_, r := accept(t, ln)
+		want(t, s, end.Withheld)
+		s.now.Store(0)
+		p.Fit(true)
+		p.Call(part("b", 2))
+		if got := next(t, r); got != "b" {
+			t.Errorf("%q came", got)
+		}
+	}
+}
+
+// Small writes are not held back: a reset would take them along.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	s := &stage{}
+	p, ln := play(t, s)
+	p.Call(part("a", 0))
+	_, r := accept(t, ln)
+	next(t, r)
+	raw, err := p.First().(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	on := 0
+	_ = raw.Control(func(fd uintptr) { on, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) })
+	if on != 1 {
+		t.Error("TCP_NODELAY is off")
+	}
+}
--- /dev/null
+++ b/internal/peer/export_test.go
@@ -0,0 +1,13 @@
+package peer
+
+import "net"
+
+// News is how many messages and ends of connections wait for the actor.
+func (p *Peer) News() int { return len(p.news) }
+
+// First is the first connection that is up.
+func (p *Peer) First() net.Conn {
+	got := make(chan net.Conn)
+	p.mailbox <- func() { got <- p.conns[0].nc }
+	return <-got
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -123,7 +123,8 @@
 func (p *Places) over() bool { return p != nil && p.left.Load() < 0 }
 
 const (
-	mailboxSize = 256 // orders and news that wait
+	mailboxSize = 256 // orders that wait
+	newsSize    = 64  // messages and ends of connections that wait; those who tell of more wait too
 	ownMargin   = 4   // the idle limit here is the other side's less one part in so many
 	maxProbes   = 512 // out on a connection, those no longer awaited included
 	maxPast     = 256 // names remembered of parts that have ended on a connection
@@ -137,7 +138,8 @@
 	room    Room
 	name    string
 	addr    string
-	mailbox chan func()
+	mailbox chan func() // orders
+	news    chan func() // of connections; what has come goes before what is to be sent
 	ctx     context.Context
 	stop    context.CancelFunc
 	fit     atomic.Bool // the list says that new work is wanted
@@ -174,7 +176,7 @@
 func New(cfg Config, dialect Dialect, name, addr string) *Peer {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Peer{cfg: cfg, dialect: dialect, room: dialect.Room(), name: name, addr: addr,
-		ctx: ctx, stop: stop, mailbox: make(chan func(), mailboxSize)}
+		ctx: ctx, stop: stop, mailbox: make(chan func(), mailboxSize), news: make(chan func(), newsSize)}
 	p.wg.Go(p.run)
 	return p
 }
@@ -182,14 +184,16 @@
 func (p *Peer) run() {
 	for {
 		select {
+		case m := <-p.news:
+			m()
 		case m := <-p.mailbox:
+			p.hear()
 			m()
-			if p.retiring && !p.busy() {
-				p.stop()
-			}
 		case <-p.ctx.Done():
 			// What still waits is ended too, not left until its time is over.
-			for p.ended = true; len(p.mailbox) > 0; {
+			p.ended = true
+			p.hear()
+			for len(p.mailbox) > 0 {
 				(<-p.mailbox)()
 			}
 			for _, c := range slices.Clone(p.conns) {
@@ -197,6 +201,17 @@
 			}
 			return
 		}
+		if p.retiring && !p.busy() {
+			p.stop()
+		}
+	}
+}
+
+// hear takes the news that wait. Before each order, it guards a call against a connection whose end
+// is known already.
+func (p *Peer) hear() {
+	for range len(p.news) {
+		(<-p.news)()
 	}
 }
 
@@ -221,7 +236,7 @@
 // tell posts news of a connection and waits for room.
 func (p *Peer) tell(m func()) bool {
 	select {
-	case p.mailbox <- m:
+	case p.news <- m:
 		return true
 	case <-p.ctx.Done():
 		return false
@@ -520,7 +535,7 @@
 	for _, a := range list {
 		name := a.Query + "." + strconv.Itoa(a.Shard)
 		_, twin := c.parts[name] // two open queries of one name: answers could not be told apart
-		if now >= a.Ends || !p.fit.Load() || a.Dead() || twin {
+		if a.Late(now) || !p.fit.Load() || a.Dead() || twin {
 			withheld = append(withheld, a)
 			continue
 		}
@@ -590,8 +605,8 @@
 	at := p.cfg.Sink.Now()
 	for _, id := range c.parts {
 		how := e
-		if s := c.stream; s != nil && s.attempt.ID == id {
-			how = s.how(e)
+		if c.stream != nil {
+			how = c.stream.how(id, e)
 		}
 		p.cfg.Sink.Ended(id, coordinator.Result{End: how, At: at})
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -22,10 +22,15 @@
 	after   []string    // parts given up meanwhile
 }
 
-// how is what an attempt ends of when its connection goes while its body is written. Before
-// the last write the server has never had it whole.
-func (s *stream) how(e end.End) end.End {
-	if s.last.Load() || e == end.CalledOff || e == end.Unkept || e == end.Withheld {
+// how is what an attempt ends of when its connection goes while a body is written. Before
+// the last write the server has never had that one whole. What ends the writing says nothing
+// of the others that are out on the connection: they may run.
+func (s *stream) how(id coordinator.AttemptID, e end.End) end.End {
+	own := e == end.CalledOff || e == end.Unkept || e == end.Withheld
+	switch {
+	case s.attempt.ID != id && own:
+		return end.Closed
+	case s.attempt.ID != id, s.last.Load(), own:
 		return e
 	}
 	return end.CutInWrite
@@ -117,7 +122,7 @@
 		}
 		left -= n
 		now := p.cfg.Sink.Now()
-		if now >= s.attempt.Ends || s.attempt.Dead() {
+		if s.attempt.Late(now) || s.attempt.Dead() {
 			return errOver
 		}
 		if !p.fit.Load() || s.attempt.Gone() {
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -149,3 +149,35 @@
 		nc.Close()
 	}
 }
+
+// Crossing: a body is cut short while another part is out on its connection. That one may run, whatever
+// is known of the body's.
+func TestABodyThatIsCutSaysNothingOfTheOthers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p, s := start(t, ln.Addr().String())
+	p.Call(attempt("a", 3, 0))
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if _, err := io.ReadFull(nc, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	p.Call(withBody("b", 1, &body{data: make([]byte, 64<<20)}))
+	if _, err := io.ReadFull(nc, make([]byte, 100)); err != nil { // it is under way
+		t.Fatal(err)
+	}
+	p.Fit(false)
+	go func() { _, _ = io.Copy(io.Discard, nc) }()
+	for range 2 {
+		got := <-s.ended
+		if want := []end.End{end.Closed, end.Withheld}[got.id.No]; got.End != want {
+			t.Errorf("part %d ended as %s, want %s", got.id.No, got.End, want)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,6 +107,7 @@
 	s := &settingsReader{values: map[string]string{}}
 	flatten(s.values, "", tree)
 	set, host := s.module(), s.host()
+	set.WriteLag = host.ConnectTimeout // a connection may have to come up first
 	return set, host, s.err
 }
 
--- a/router.go
+++ b/router.go
@@ -109,7 +109,7 @@
 	race             *race
 	decideAt         time.Duration
 	ran              bool          // an attempt may have run
-	firstRun         time.Duration // when the first that may have run was sent
+	until            time.Duration // the last that a further one may be written, once one may have run
 }
 
 // attempt is one send whose outcome is still to come.
@@ -175,6 +175,7 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
+	taken, further := set.budgetSpans()
 	return &Router{
 		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Shards))),
 		servers: map[ServerID]*server{}, byID: map[RequestID]*query{}, byNumber: map[uint64]*query{},
@@ -184,8 +185,8 @@
 		service: newWindow(latencyWindow), unit: newWindow(latencyWindow), values: newWindow(latencyWindow),
 		latency:  newWindows(len(set.Classes), latencyWindow),
 		tenants:  newWindows(len(set.Tenants), tenantWindow),
-		arrivals: newWindow(cmp.Or(set.BudgetWindow, latencyWindow)),
-		extras:   newWindow(cmp.Or(set.BudgetWindow, latencyWindow)),
+		arrivals: newWindow(cmp.Or(taken, latencyWindow)),
+		extras:   newWindow(cmp.Or(further, latencyWindow)),
 		askGap:   askFirst, pressed: math.MinInt64 / 2, forget: float64(forgetLeast),
 	}, nil
 }
@@ -317,17 +318,17 @@
 	if q == nil {
 		return
 	}
-	p := &part{id: a.ID, query: q, shard: a.Shard, weight: a.Amount, wants: true}
+	p := &part{id: a.ID, query: q, shard: a.Shard, weight: a.Amount, wants: true, until: forever}
 	q.parts = append(q.parts, p)
 	r.parts[a.ID] = p
 }
 
 // replace takes parts out whose shard has moved and takes in those that ask for the same elsewhere.
 func (r *Router) replace(e Replaced) {
-	spent, ran := 0, false
+	spent, ran, until := 0, false, forever
 	for _, id := range e.IDs {
 		if p := r.parts[id]; p != nil && !p.done {
-			spent, ran = max(spent, p.spent+len(p.tried)-1), ran || p.ran
+			spent, ran, until = max(spent, p.spent+len(p.tried)-1), ran || p.ran, min(until, p.until)
 			p.query.in, e.In = p.query.in+e.In, 0
 			p.query.parts = slices.DeleteFunc(p.query.parts, func(o *part) bool { return o == p })
 			r.dropPart(p)
@@ -336,7 +337,7 @@
 	for _, a := range e.Parts {
 		r.arrive(a)
 		if p := r.parts[a.ID]; p != nil {
-			p.spent, p.ran = spent, ran
+			p.spent, p.ran, p.until = spent, ran, until
 		}
 	}
 }
@@ -551,8 +552,7 @@
 	}
 	class, mayHaveRun := p.query.class, p.ran || len(p.open) > 0
 	if r.set.MaxAttempts > 0 && p.spent+len(p.tried) >= r.set.MaxAttempts ||
-		mayHaveRun && class.Effect == Unsafe ||
-		mayHaveRun && class.Effect == Keyed && r.now > p.firstRun+class.Window-r.set.Tick {
+		mayHaveRun && (class.Effect == Unsafe || r.now > p.until-r.set.Tick) {
 		return false
 	}
 	taken, extras := float64(r.arrivals.count(r.now)), float64(r.extras.count(r.now)+1)
@@ -923,7 +923,7 @@
 		s.coldAt = max(s.coldAt+gap, r.now-gap) // a part may be behind its time by one gap
 	}
 	if !p.ran && len(p.open) == 0 {
-		p.firstRun = r.now
+		p.until = p.query.class.repeatable(r.now)
 	}
 	a := &attempt{part: p, no: len(p.tried), server: s, sent: r.now, load: r.work(s)}
 	p.open = append(p.open, a)
@@ -931,7 +931,7 @@
 	r.calls[s]++
 	s.out, s.sentSum, s.sentAt = s.out+1, s.sentSum+r.now, r.now
 	r.attempts[attemptKey{p.id, a.no}] = a
-	r.do(Send{ID: p.id, Server: s.id, Timeout: p.query.ends - r.now})
+	r.do(Send{ID: p.id, Server: s.id, Timeout: p.query.ends - r.now, Until: p.until})
 }
 
 // wake sets a timer for the next turn while a query is open, and for the next call to discovery.
--- a/router_test.go
+++ b/router_test.go
@@ -274,6 +274,38 @@
 	}
 }
 
+// Crossing: a further attempt is decided within the window, and may be written only later.
+func TestAKeyedAttemptSaysUntilWhenItMayBeWritten(t *testing.T) {
+	set := settings()
+	set.SecondCopies = false
+	set.Classes[0].Effect, set.Classes[0].Window = Keyed, 500*ms
+	b := newBed(t, set)
+	b.query(10, 0, 0)
+	first := b.sentTo(1, 2, 3)
+	began := b.now
+	b.after(400*ms, closed(11, 0, first, TimedOut, 400*ms))
+	b.sentTo(1, 2, 3)
+	if got := of[Send](b.last)[0].Until; got < began || got > began+500*ms {
+		t.Errorf("a first attempt at %v may be repeated until %v", began, got)
+	}
+}
+
+// Crossing: further attempts are decided within the budget and written later, when the queries that allowed
+// them may be out of its span and earlier attempts still in it.
+func TestTheBudgetHoldsWhenAttemptsAreWritten(t *testing.T) {
+	for lag, want := range map[time.Duration]int{0: 1, 300 * ms: 0} {
+		set := settings()
+		set.BudgetWindow, set.BudgetShare, set.WriteLag = 2*time.Second, 0.5, lag
+		b := newBed(t, set)
+		b.query(10, 0, 0) // it and its part are taken: one further attempt, for so long
+		first := b.sentTo(1, 2, 3)
+		b.after(1800*ms, closed(11, 0, first, Errored, 1800*ms))
+		if got := len(of[Probe](b.last)); got > 0 != (want > 0) {
+			t.Errorf("lag %v: asked again by %d probes", lag, got)
+		}
+	}
+}
+
 func TestNoOverlapWhereForbidden(t *testing.T) {
 	for _, copies := range []bool{true, false} {
 		set := settings()
