The end takes in who waits at the socket, hears SIGHUP, and tenants are told apart

Which events could cross: - Clients that the machine had accepted and the program had not, as the listener closed 450 ms after SIGTERM, were reset with their requests. What waits there is let in for 50 ms more (daemon/run.go stop, closeAfter). - SIGHUP that moves discovery during the end, or in the same moment as SIGTERM, was read by nobody, and what was still open was sent by a list that nobody kept fresh (daemon/run.go follow; now outlast, hear). - A change with a version below the one held was taken over the newer one: a server that had begun to drain since was in service again. It is dropped and the whole list asked for (discovery.go take). - A start that knows no server, or whose list is of no use, while discovery is silent was never ready, where the platform gives it 10 s: ready after 8 s, and what comes is refused (discovery.go blindWait). - X-Tenant-Id was read by nobody: all queries counted as the first tenant's, so that a busy one's share made everybody's queries cheap (platform.go, coordinator.go take and join). An unknown tenant is a counted 400.

Tests, each failing without its mend (tried by taking it out): TestThoseWhoWaitAtTheSocketAreTaken, TestANewConfigurationDuringTheEnd, TestAVersionThatGoesBack (indented too), TestReadyWithoutAnyList, TestTenantsAreToldApart, TestTenantsOfTheModule; TestTheEndBeforeTheStartIsDone holds what was sound. Two tests of discovery count one more deadline, that of a start without servers.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -44,6 +44,8 @@
 type Query struct {
 	Name  string // the client's name for it
 	Class int
+	// Tenant is whose query it is, by number from 1 on; 0: nobody's.
+	Tenant int
 	// Collection is what the query asks about, where its client says so.
 	Collection string
 	Began      time.Duration // by Core.Now: when the client's time began to run
@@ -525,7 +527,7 @@
 	c.queries[open.id] = open
 	left := max(0, open.ends-now)
 	c.events = append(c.events, linkpass.Arrival{ID: open.id, Shard: -1, Left: left, Class: q.Class,
-		Repeat: q.Repeat, Amount: float64(len(parts)), Query: c.numbers})
+		Tenant: c.tenant(open), Repeat: q.Repeat, Amount: float64(len(parts)), Query: c.numbers})
 	open.number = c.numbers
 	for _, p := range parts {
 		c.events = append(c.events, c.join(open, p, left))
@@ -543,6 +545,14 @@
 	return open
 }
 
+// tenant is the module's number of whose query it is; none is past the last one.
+func (c *Core) tenant(q *query) int {
+	if q.Tenant == 0 {
+		return len(c.set.Tenants)
+	}
+	return q.Tenant - 1
+}
+
 // join makes a part of an open query, and what the module is told of it.
 func (c *Core) join(q *query, p Part, left time.Duration) linkpass.Arrival {
 	c.lastID++
@@ -553,7 +563,7 @@
 	if q.bare { // the module hears it with the next turn's events, behind the arrival
 		c.aside(func() { c.bare(q) })
 	}
-	return linkpass.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class, Repeat: q.Repeat,
+	return linkpass.Arrival{ID: mine.id, Shard: p.Shard, Left: left, Class: q.Class, Tenant: c.tenant(q), Repeat: q.Repeat,
 		Cost: p.Hint, Key: p.Key, Amount: p.Weight, Query: q.number}
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -211,6 +211,16 @@
 	})
 }
 
+// A query's tenant reaches the module, and one of nobody's is none of them.
+func TestTenantsOfTheModule(t *testing.T) {
+	c := &Core{set: linkpass.Settings{Tenants: make([]linkpass.Tenant, 2)}}
+	for tenant, want := range []int{2, 0, 1} {
+		if got := c.tenant(&query{Query: Query{Tenant: tenant}}); got != want {
+			t.Errorf("%d came as %d, want %d", tenant, got, want)
+		}
+	}
+}
+
 func TestClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, err := New(Config{Settings: linkpass.Settings{Peers: 1, Shards: 1, Cells: 1, Reach: 1,
--- /dev/null
+++ b/internal/daemon/crossings_test.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"linkpass/internal/http1"
+	"linkpass/internal/settings"
+)
+
+// Crossing: SIGHUP names another discovery while the program ends. What was taken is still sent by the
+// list, so it goes on at the new address, and a file that can't be used changes nothing.
+func TestANewConfigurationDuringTheEnd(t *testing.T) {
+	b := newBench(t, 3)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("ROUTER_CONFIG", path)
+	b.servers["s-0a"].set("wait")
+	b.servers["s-0b"].set("wait")
+	answered := make(chan int)
+	go func() { status, _ := b.query(b.platform, "whole", 15*time.Second, 0); answered <- status }()
+	for n := 0; n == 0; _, n = b.since(0) {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); b.stop() }()
+	for b.p.gate.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	asked := make(chan struct{}, 1)
+	moved := listenLocal(t, func(nc net.Conn) {
+		for r := http1.NewReader(nc, 0); ; {
+			if _, err := r.Request(); err != nil {
+				return
+			}
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+			_ = http1.WriteResponse(nc, &http1.Response{Status: 200, Body: []byte(`{"version":7,"full":false,"servers":[]}`), Close: true})
+		}
+	})
+	for _, text := range []string{"{", `{"name":"n0","listen":"127.0.0.1:1","discovery":"` + moved + `","seed":"8c1f","known":{"servers":[]},"settings":` + settingsText + `}`} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case b.news <- syscall.SIGHUP:
+		case <-time.After(10 * time.Second):
+			t.Fatal("nobody hears of a new configuration")
+		}
+		for b.p.count.Get("config_bad") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	<-asked
+	b.servers["s-0a"].set("go")
+	b.servers["s-0b"].set("go")
+	if status := <-answered; status != 200 {
+		t.Errorf("what was taken ended with %d", status)
+	}
+	<-stopped
+	if n := b.p.count.Get("discovery_moved"); n != 1 {
+		t.Errorf("moved %d times", n)
+	}
+}
+
+// heldListener is a listener whose connections wait at the socket until the test lets them in.
+type heldListener struct {
+	*net.TCPListener
+	let chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) { <-l.let; return l.TCPListener.Accept() }
+
+// Crossing: clients have connected and asked, and the listener is to be closed before they were let in. They
+// are taken and answered; a close would have reset them.
+func TestThoseWhoWaitAtTheSocketAreTaken(t *testing.T) {
+	b := newBench(t, 3)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := heldListener{ln.(*net.TCPListener), make(chan struct{})}
+	server := &http1.Server{Name: "late", Clock: b.p.core, Counters: b.p.count, MaxConns: 9,
+		Handler: http1.HandlerFunc(func(context.Context, time.Duration, *http1.Request) *http1.Response {
+			return &http1.Response{Status: 200}
+		})}
+	done := make(chan struct{})
+	go func() { defer close(done); (&entrance{server, held}).run(t.Context()) }()
+	var clients []*client
+	for range 3 {
+		c := connect(t, ln.Addr().String())
+		if err := http1.WriteRequest(c.nc, "POST", "/", "x", nil, nil); err != nil {
+			t.Fatal(err)
+		}
+		clients = append(clients, c)
+	}
+	drawn := make(chan struct{})
+	go func() {
+		defer close(drawn)
+		closeAfter([]net.Listener{held.TCPListener}, nil, func() { close(held.let); <-done })
+	}()
+	<-drawn
+	for _, c := range clients {
+		if res, err := c.r.Response(); err != nil || res.Status != 200 {
+			t.Errorf("%+v %v", res, err)
+		}
+	}
+	if _, err := net.Dial("tcp", ln.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("one that comes behind the line: %v", err)
+	}
+	server.Stop()
+}
+
+// SIGTERM before there is any list, and again, ends the program once, in good order.
+func TestTheEndBeforeTheStartIsDone(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	cfg := Config{name: fmt.Sprint("n", os.Getpid()), listen: "127.0.0.1:0", discovery: "127.0.0.1:1", seed: 5, memoryMB: 64, sockets: 256}
+	var err error
+	if cfg.module, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
+		t.Fatal(err)
+	}
+	p, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	term, stop := context.WithCancel(t.Context())
+	stop()
+	stop()
+	if err := p.Serve(term, nil); err != nil {
+		t.Error(err)
+	}
+	if p.gate.Ready() {
+		t.Error("ready after its end")
+	}
+}
--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -87,7 +87,7 @@
 // platformPart is the platform's front.
 func (p *Program) platformPart() parts.Part {
 	return p.frontPart(parts.Part{Name: "platform", Needs: []string{"core", "bodies", "links"}}, func() (*entrance, error) {
-		thin := &platform.Front{Core: p.core, Classes: p.cfg.host.Classes, Shards: p.cfg.module.Shards, Counters: p.count}
+		thin := &platform.Front{Core: p.core, Classes: p.cfg.host.Classes, Tenants: p.cfg.host.Tenants, Shards: p.cfg.module.Shards, Counters: p.count}
 		thin.Ready, thin.Bodies, thin.Retry = p.gate.Ready, p.bodies, p.retry()
 		for _, class := range p.cfg.module.Classes {
 			thin.Worth = append(thin.Worth, class.Worth)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -37,6 +37,7 @@
 
 const (
 	grace      = 450 * time.Millisecond // after SIGTERM new connections still come
+	lastIn     = 50 * time.Millisecond  // past that, what the machine has accepted meanwhile is taken in
 	lastCalls  = 600 * time.Millisecond // after SIGTERM connections that ask nothing are kept
 	killAfter  = 3 * time.Second
 	killMargin = 350 * time.Millisecond // of the 700 past that: for the last answers
@@ -159,11 +160,7 @@
 		defer close(stopping)
 		p.stop()
 	}()
-	select {
-	case <-stopping:
-	case <-time.After(p.patience()):
-		// The platform is about to kill: what is still open is failed while that can be told.
-	}
+	p.outlast(stopping, news)
 	cancel()
 	<-coreDone
 	select {
@@ -180,6 +177,33 @@
 	return err
 }
 
+// outlast does what the news ask for until the program has stopped. That ends before the platform
+// kills: what is still open is failed then, while it can be told.
+func (p *Program) outlast(stopping <-chan struct{}, news <-chan os.Signal) {
+	kill := time.NewTimer(p.patience())
+	defer kill.Stop()
+	for {
+		select {
+		case <-stopping:
+			return
+		case <-kill.C:
+			return
+		case sig := <-news: // what is open is still sent by the list, and discovery may move
+			p.hear(sig)
+		}
+	}
+}
+
+// hear does what a signal asks for.
+func (p *Program) hear(sig os.Signal) {
+	if sig == syscall.SIGHUP {
+		_, _ = p.Reload() // the log tells
+		return
+	}
+	p.count.Print("signal")
+	p.printBodies()
+}
+
 // follow does what the news ask for until the context ends.
 func (p *Program) follow(term context.Context, news <-chan os.Signal, young bool) {
 	usable, warm := p.watcher.Usable(), make(chan struct{})
@@ -209,12 +233,7 @@
 			})
 			p.mu.Unlock()
 		case sig := <-news:
-			if sig == syscall.SIGHUP {
-				_, _ = p.Reload() // the log tells
-			} else {
-				p.count.Print("signal")
-				p.printBodies()
-			}
+			p.hear(sig)
 		case <-term.Done():
 			return
 		}
@@ -350,7 +369,8 @@
 }
 
 // stop takes in what still comes, then finishes what was taken. Where the platform holds
-// the socket another process accepts on it, and this one stops at once.
+// the socket another process accepts on it, and this one stops at once. Elsewhere nobody
+// else would take what waits at the socket: it is closed only once that has been taken in.
 func (p *Program) stop() {
 	p.gate.End()
 	wait := grace
@@ -360,10 +380,11 @@
 	event.Stopping.Log(wait.Milliseconds())
 	time.Sleep(wait)
 	close(p.leaving)
-	for _, ln := range p.lns {
-		_ = ln.Close()
+	own, shared := p.lns, []net.Listener(nil)
+	if p.cfg.listenFD != 0 {
+		own, shared = p.lns[1:], p.lns[:1]
 	}
-	p.accepting.Wait()
+	closeAfter(own, shared, p.accepting.Wait)
 	time.Sleep(lastCalls - wait)
 	p.post.Leave(p.core.Held())
 	for _, front := range p.fronts {
@@ -371,6 +392,21 @@
 	}
 }
 
+// closeAfter draws the line behind which nobody is let in. Listeners shared with other processes are closed at
+// once; at those of our own all that the machine has accepted is let in first. accepted waits until that is done.
+func closeAfter(own, shared []net.Listener, accepted func()) {
+	for _, ln := range shared {
+		_ = ln.Close()
+	}
+	for _, ln := range own {
+		_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(lastIn))
+	}
+	accepted()
+	for _, ln := range own {
+		_ = ln.Close()
+	}
+}
+
 // patience is how long after SIGTERM the process may take: the platform kills once the
 // longest deadline, or 3 s where that is longer, and 0.7 s have passed.
 func (p *Program) patience() time.Duration {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -27,6 +27,7 @@
 	// is over, and the next call renews the watch at no cost.
 	watchWait = time.Second
 	firstWait = 300 * time.Millisecond // for discovery's first word, before the list last known will do
+	blindWait = 8 * time.Second        // the same where no server is known: the platform wants a start ready in 10 s
 	maxList   = 1 << 20                // bytes of a list
 
 	// none stands for no version held. Version 0 is a real one: asking for the
@@ -138,8 +139,9 @@
 	return w
 }
 
-// Usable is closed once there is a list to work with: what discovery has answered
-// or, where it says nothing for a moment, the servers last known.
+// Usable is closed once there is a list to work with: what discovery has answered or, where
+// it says nothing for a moment, the servers last known. Where none are known it is closed
+// in time all the same: what comes then is refused, until discovery speaks.
 func (w *Watcher) Usable() <-chan struct{} { return w.first }
 
 // Move goes on at another address. Of several moves in a row the last one holds.
@@ -174,6 +176,7 @@
 // Run starts from the list last known and watches until the context ends.
 func (w *Watcher) Run(ctx context.Context, known Document) {
 	w.version = none
+	wait := blindWait
 	if list, err := w.Reader.List(known); err != nil {
 		w.bad(err)
 	} else {
@@ -181,9 +184,10 @@
 		w.version = known.Version
 		w.Core.List(list)
 		if len(list.Members) > 0 {
-			defer w.Core.Arm(w.Core.Now()+firstWait, w.usable)()
+			wait = firstWait
 		}
 	}
+	defer w.Core.Arm(w.Core.Now()+wait, w.usable)()
 	var held *line
 	failing := false
 	w.rest, w.chance = w.Patience.rest, rand.New(rand.NewPCG(w.Seed, 0))
@@ -320,6 +324,10 @@
 	if err == nil {
 		list, err = w.Reader.List(d)
 	}
+	if err == nil && !d.Full && d.Version < w.version {
+		// Guards against changes that were told before: a server in them may have begun to drain since.
+		err = fmt.Errorf("discovery: version %d after %d", d.Version, w.version)
+	}
 	if err != nil {
 		w.bad(err)
 		w.version = none // the whole list will set it right
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -220,6 +220,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
 	<-core.lists
+	<-core.armed                          // of a start that knows no server
 	<-core.armed                          // of the dial
 	for _, wait := range []int{0, 1000} { // a watch that begins may stand in a queue
 		if first := <-core.armed; first.at < time.Duration(wait)*time.Millisecond+Queued.begin {
@@ -277,3 +278,51 @@
 	cancel()
 	<-done
 }
+
+// Crossing: a change that was told is overtaken by an older one. The older one is dropped, and the whole
+// list, indented here, sets it right.
+func TestAVersionThatGoesBack(t *testing.T) {
+	paths, answers := make(chan string), make(chan string)
+	defer close(answers)
+	ctx, cancel := context.WithCancel(t.Context())
+	core := &fakeCore{lists: make(chan coordinator.List, 4)}
+	w := NewWatcher(agent(t, paths, answers), reader(), core, counters.New())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
+	<-core.lists
+	<-paths
+	answers <- `{"version":8,"full":false,"servers":[` + server + `]}`
+	if got := <-paths; got != "/registry/instances?" || len(core.lists) != 0 {
+		t.Errorf("asked %q after a version that went back, %d lists taken", got, len(core.lists))
+	}
+	answers <- "{\r\n  \"version\": 4,\n\t\"full\": true,\n  \"servers\": [\n    " + strings.ReplaceAll(server, ",", ",\n      ") + "\n  ]\n}\n"
+	if l := <-core.lists; l.Mode != linkpass.ListFull || len(l.Members) != 1 {
+		t.Errorf("%+v", l)
+	}
+	if got := <-paths; !strings.HasPrefix(got, "/registry/instances?after=4&") {
+		t.Errorf("went on with %q", got)
+	}
+	cancel()
+	<-done
+}
+
+// A start that knows no server, or whose list is of no use, is ready in time though discovery says nothing.
+func TestReadyWithoutAnyList(t *testing.T) {
+	for _, known := range []Document{{}, {Servers: []Server{{ID: "s-1", State: "asleep"}}}} {
+		paths, answers := make(chan string, 1), make(chan string)
+		core := &fakeCore{lists: make(chan coordinator.List, 4), armed: make(chan limit, 8)}
+		ctx, cancel := context.WithCancel(t.Context())
+		w := NewWatcher(agent(t, paths, answers), reader(), core, counters.New())
+		done := make(chan struct{})
+		go func() { defer close(done); w.Run(ctx, known) }()
+		limit := <-core.armed
+		if limit.at > 9*time.Second {
+			t.Errorf("ready after %v", limit.at)
+		}
+		limit.fire()
+		<-w.Usable()
+		cancel()
+		close(answers)
+		<-done
+	}
+}
--- a/internal/discovery/patience_test.go
+++ b/internal/discovery/patience_test.go
@@ -40,6 +40,7 @@
 	w.Patience = Pushed(time.Second)
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
+	<-core.armed  // of a start that knows no server
 	for range 3 { // silence meets each with nothing
 		dial, call := <-core.armed, <-core.armed
 		if dial.at > w.Patience.dial || call.at > w.Patience.begin {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,6 +30,7 @@
 type Front struct {
 	Core     Core
 	Classes  []string // names, by number
+	Tenants  []string // the same; nil: the site has none
 	Shards   int
 	Counters *counters.Set
 	Ready    func() bool
@@ -173,10 +174,25 @@
 	}
 	q.Timeout = time.Duration(ms) * time.Millisecond
 	q.Repeat = req.Header.Get("X-Retried") == "1"
+	if q.Tenant, err = f.tenant(req.Header.Get("X-Tenant-Id")); err != nil {
+		return q, 400, err
+	}
 	q.Parts, err = f.parts(req.Body)
 	return q, 400, err
 }
 
+// tenant numbers whose query it is, from 1 on. What names nobody is held against nobody's share.
+func (f *Front) tenant(name string) (int, error) {
+	if name == "" || len(f.Tenants) == 0 {
+		return 0, nil
+	}
+	i := slices.Index(f.Tenants, name)
+	if i < 0 {
+		return 0, fmt.Errorf("unknown tenant %.40q", name)
+	}
+	return i + 1, nil
+}
+
 // plainName tells whether a name can stand in a line of a frame.
 func plainName(s string) bool {
 	return s != "" && len(s) <= maxName && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -75,6 +75,28 @@
 	}
 }
 
+// One tenant's queries are never held against another's share, nor are those that name nobody.
+func TestTenantsAreToldApart(t *testing.T) {
+	c := &core{}
+	f := front(c)
+	for name, want := range map[string]int{"north": 0, "": 0} { // the site has none
+		f.Serve(context.Background(), 0, request("/checkout", valid, "X-Tenant-Id", name))
+		if q := c.queries[len(c.queries)-1]; q.Tenant != want {
+			t.Errorf("%q is tenant %d", name, q.Tenant)
+		}
+	}
+	f.Tenants = []string{"north", "south"}
+	for name, want := range map[string]int{"north": 1, "south": 2, "": 0} {
+		f.Serve(context.Background(), 0, request("/checkout", valid, "X-Tenant-Id", name))
+		if q := c.queries[len(c.queries)-1]; q.Tenant != want {
+			t.Errorf("%q is tenant %d, want %d", name, q.Tenant, want)
+		}
+	}
+	if res := f.Serve(context.Background(), 0, request("/checkout", valid, "X-Tenant-Id", "east")); res.Status != 400 || f.Counters.Get("platform_rejected") != 1 {
+		t.Errorf("an unknown tenant: %d", res.Status)
+	}
+}
+
 // What can't be served as asked gets a 4xx and never reaches the core.
 func TestUnusableQueries(t *testing.T) {
 	c := &core{}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,7 @@
 // Host is what a host needs beside the module's settings.
 type Host struct {
 	Zones, Kinds, Classes []string
+	Tenants               []string      // none on some sites
 	ReportNames           []string      // names of a report's values, in the module's order
 	MaxStreams            int           // calls that one connection carries at a time
 	ConnectTimeout        time.Duration // a connection not up by then has failed
@@ -162,6 +163,11 @@
 	for i := range s.count("request_classes") {
 		h.Classes = append(h.Classes, s.values[fmt.Sprintf("request_classes.%d.name", i)])
 	}
+	if s.values["tenants"] == "" {
+		for i := range int(s.number("tenants.count")) {
+			h.Tenants = append(h.Tenants, s.values[fmt.Sprintf("tenants.%d.name", i)])
+		}
+	}
 	return h
 }
 
