Tenants' names are compared as the settings write them, without spaces and commas

Seen by reading: flatten writes names of the settings with _ for a space or a comma, and X-Tenant-Id came raw. Test: TestTenantsAreToldApart has a name with a space.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,7 @@
 	"linkpass/internal/counters"
 	"linkpass/internal/event"
 	"linkpass/internal/http1"
+	"linkpass/internal/settings"
 )
 
 // Core takes queries.
@@ -186,7 +187,7 @@
 	if name == "" || len(f.Tenants) == 0 {
 		return 0, nil
 	}
-	i := slices.Index(f.Tenants, name)
+	i := slices.Index(f.Tenants, settings.Name(name))
 	if i < 0 {
 		return 0, fmt.Errorf("unknown tenant %.40q", name)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -85,8 +85,8 @@
 			t.Errorf("%q is tenant %d", name, q.Tenant)
 		}
 	}
-	f.Tenants = []string{"north", "south"}
-	for name, want := range map[string]int{"north": 1, "south": 2, "": 0} {
+	f.Tenants = []string{"north", "south_coast"} // as the settings write it
+	for name, want := range map[string]int{"north": 1, "south coast": 2, "": 0} {
 		f.Serve(context.Background(), 0, request("/checkout", valid, "X-Tenant-Id", name))
 		if q := c.queries[len(c.queries)-1]; q.Tenant != want {
 			t.Errorf("%q is tenant %d, want %d", name, q.Tenant, want)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -140,12 +140,17 @@
 	}
 }
 
+// Name is how a name is written in the settings: they know no space and no comma.
+func Name(s string) string { return names.Replace(s) }
+
+var names = strings.NewReplacer(" ", "_", ",", "_")
+
 func scalar(v any) string {
 	switch v := v.(type) {
 	case nil:
 		return ""
 	case string:
-		return strings.NewReplacer(" ", "_", ",", "_").Replace(v)
+		return Name(v)
 	case float64:
 		return strconv.FormatFloat(v, 'g', -1, 64)
 	}
