SIGTERM does not wait for a configuration that is being read; further crossings are forced

Seen by reading: SIGHUP was read by the goroutine that waits for SIGTERM (daemon/run.go follow). On a disk that does not answer the end did not begin, and the platform would have killed with all connections open. A goroutine of its own reads now (reloads); news that come meanwhile are one more reading; what is read once the parts end changes nothing (over). Test: TestTheEndDoesNotWaitForAConfiguration reads from a pipe that nobody writes; it hung without the change.

Forced and found sound: TestSIGTERMTwice (every 100 ms from start to end), TestAWatchThatIsReset (then down, then moved), TestAResetIsNoEnd (close, reset, no end), TestAClientThatNeverReadsIsLetGo, TestAResetBetweenTwoWrites (the first may have run, the second never did), TestSmallAnswersAreNotHeldBack.

--- a/internal/daemon/crossings_test.go
+++ b/internal/daemon/crossings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -71,6 +72,60 @@
 	}
 }
 
+// Crossing: SIGTERM comes while the configuration is read from a disk that does not answer. The end begins all
+// the same, and what is read after it changes nothing.
+func TestTheEndDoesNotWaitForAConfiguration(t *testing.T) {
+	b := newBench(t, 3)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("ROUTER_CONFIG", path)
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b.news <- syscall.SIGHUP
+	disk, err := os.OpenFile(path, os.O_WRONLY, 0) // opens once it is being read
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.stop()
+	if _, err := disk.WriteString("{"); err != nil {
+		t.Fatal(err)
+	}
+	disk.Close()
+	b.p.reloading.Lock() // the reading has ended
+	defer b.p.reloading.Unlock()
+	if n := b.p.count.Get("config_reloaded"); n != 0 {
+		t.Errorf("reloaded %d times", n)
+	}
+}
+
+// SIGTERM twice ends the program once, in good order.
+func TestSIGTERMTwice(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f","known":{"servers":[]},"settings":`+settingsText+`}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("ROUTER_CONFIG", path)
+	guard := make(chan os.Signal, 9) // without it one that comes before Main listens would end the tests
+	signal.Notify(guard, syscall.SIGTERM)
+	defer signal.Stop(guard)
+	code := make(chan int, 1)
+	go func() { code <- Main("../../" + DefaultSearchFile) }()
+	for ended := false; !ended; {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		<-guard
+		select {
+		case got := <-code:
+			if ended = true; got != 0 {
+				t.Errorf("exit code %d", got)
+			}
+		case <-time.After(100 * time.Millisecond): // again, at each step of its start and its end
+		}
+	}
+}
+
 // heldListener is a listener whose connections wait at the socket until the test lets them in.
 type heldListener struct {
 	*net.TCPListener
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -15,6 +16,8 @@
 	"linkpass/internal/schema"
 )
 
+var errOver = errors.New("the program is about to end")
+
 // Reload reads the platform's configuration and the operators' file again while the program runs, and tells which keys
 // have taken hold and which wait for a start. A file that can't be used changes nothing: a coordinator must not end
 // over it.
@@ -28,6 +31,10 @@
 		return control.Reloaded{}, err
 	}
 	p.mu.Lock()
+	if p.over {
+		p.mu.Unlock()
+		return control.Reloaded{}, errOver
+	}
 	p.cfg.memoryMB = cfg.memoryMB
 	p.limitMemory()
 	told := p.takeSearch(&cfg.Search)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -79,15 +79,17 @@
 
 	fixed       atomic.Pointer[catalog.Catalog] // the file's, where there is no store
 	keys        keyring
-	controlAddr atomic.Value // string: of the API over TCP
-	reloading   sync.Mutex   // one at a time
+	controlAddr atomic.Value  // string: of the API over TCP
+	reloading   sync.Mutex    // one at a time
+	changed     chan struct{} // told when the configuration is to be read again
 
 	post  *handover.Post
 	alone chan struct{} // told when no other process of this coordinator runs any more
 
 	mu      sync.Mutex // guards what follows: the share of the limits
 	share   handover.Share
-	clients int // connections that each front may hold
+	clients int  // connections that each front may hold
+	over    bool // the parts are about to end: nothing new takes hold
 }
 
 // limitMemory sets the collector's limit to this process's share.
@@ -153,6 +155,7 @@
 	}
 	p.parts.Run(context.Background())
 	event.Started.Log(cfg.name, cfg.discovery, len(cfg.known.Servers))
+	go p.reloads(ctx)
 	p.follow(term, news, young)
 
 	stopping := make(chan struct{})
@@ -171,6 +174,9 @@
 		}
 		<-stopping
 	}
+	p.mu.Lock()
+	p.over = true
+	p.mu.Unlock()
 	err := p.parts.Stop()
 	p.count.Print("exit")
 	event.Stopped.Log()
@@ -194,16 +200,31 @@
 	}
 }
 
-// hear does what a signal asks for.
+// hear does what a signal asks for. It does not wait for files: they may be slow, and SIGTERM may come.
 func (p *Program) hear(sig os.Signal) {
 	if sig == syscall.SIGHUP {
-		_, _ = p.Reload() // the log tells
+		select {
+		case p.changed <- struct{}{}:
+		default: // what waits already will read the files as they are then
+		}
 		return
 	}
 	p.count.Print("signal")
 	p.printBodies()
 }
 
+// reloads reads the configuration again each time that it was said to have changed, until the context ends.
+func (p *Program) reloads(ctx context.Context) {
+	for {
+		select {
+		case <-p.changed:
+			_, _ = p.Reload() // the log tells
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // follow does what the news ask for until the context ends.
 func (p *Program) follow(term context.Context, news <-chan os.Signal, young bool) {
 	usable, warm := p.watcher.Usable(), make(chan struct{})
@@ -250,7 +271,8 @@
 		cfg.sockets = defaultSockets
 	}
 	p := &Program{cfg: cfg, began: time.Now(), count: counters.New(), figures: counters.NewFigures(cfg.host.Classes),
-		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1), welcome: make(chan struct{}), leaving: make(chan struct{})}
+		dials: peer.NewPlaces(0), alone: make(chan struct{}, 1), welcome: make(chan struct{}), leaving: make(chan struct{}),
+		changed: make(chan struct{}, 1)}
 	p.fixed.Store(&cfg.Search.Catalog)
 	p.settle(p.fixed.Load)
 	p.join()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -326,3 +326,47 @@
 		<-done
 	}
 }
+
+// Crossing: a watch is reset, and what changes then is told to nobody. The whole list is asked for at once, on a
+// connection that the next call makes; the same where discovery was not there, and is moved meanwhile.
+func TestAWatchThatIsReset(t *testing.T) {
+	paths, answers := make(chan string), make(chan string)
+	defer close(answers)
+	watched := make(chan struct{})
+	broken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		nc, err := broken.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http1.NewReader(nc, 0).Request()
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		_ = nc.Close()
+		_ = broken.Close()
+		close(watched)
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	core := &fakeCore{lists: make(chan coordinator.List, 4)}
+	w := NewWatcher(broken.Addr().String(), reader(), core, counters.New())
+	w.Patience = Pushed(time.Second)
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, Document{Version: 9, Full: true}) }()
+	<-watched
+	for w.Counters.Get("discovery_failed") < 3 { // reset, then refused
+		time.Sleep(time.Millisecond)
+	}
+	w.Move(agent(t, paths, answers))
+	if got := <-paths; got != "/registry/instances?" {
+		t.Errorf("asked %q", got)
+	}
+	answers <- `{"version":12,"full":true,"servers":[` + server + `]}`
+	<-core.lists // the list last known
+	if l := <-core.lists; l.Mode != linkpass.ListFull || len(l.Members) != 1 {
+		t.Errorf("heard %+v", l)
+	}
+	cancel()
+	<-done
+}
--- a/internal/http1/crossings_test.go
+++ b/internal/http1/crossings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -203,6 +204,86 @@
 	}
 }
 
+// A client that never reads its answer is held no longer than WriteLimit.
+func TestAClientThatNeverReadsIsLetGo(t *testing.T) {
+	s, addr := serve(t, func(context.Context, time.Duration, *Request) *Response {
+		return &Response{Status: 200, Body: make([]byte, 64<<20)} // more than any socket holds
+	}, 9)
+	nc, _ := dial(t, addr)
+	_, _ = io.WriteString(nc, sized)
+	until(t, "the answer's begin", func() bool { _, err := nc.Read(make([]byte, 1)); return err == nil })
+	s.Clock.(*clock).pass(WriteLimit)
+	until(t, "its end", func() bool { return s.held() == 0 })
+	if s.Counters.Get("test_write_failed") != 1 {
+		t.Error(s.Counters)
+	}
+}
+
+// A reset is no end of an answer without a length, a close is; one that never ends is given up by its size.
+func TestAResetIsNoEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		end func(*net.TCPConn)
+		ok  bool
+	}{
+		"close":  {func(nc *net.TCPConn) { _ = nc.Close() }, true},
+		"reset":  {func(nc *net.TCPConn) { _ = nc.SetLinger(0); _ = nc.Close() }, false},
+		"no end": {func(nc *net.TCPConn) { _, _ = io.Copy(nc, endless{}) }, false},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc, r := dial(t, ln.Addr().String())
+		there, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(there, "HTTP/1.1 200 OK\r\n\r\n{\"whole\":true}")
+		if err := r.Wait(); err != nil { // its begin has come
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() { defer close(done); c.end(there.(*net.TCPConn)) }()
+		if name != "no end" {
+			<-done
+		}
+		if res, err := r.Response(); (err == nil) != c.ok {
+			t.Errorf("%s: %+v %v", name, res, err)
+		}
+		_ = nc.Close()
+		<-done
+		_ = ln.Close()
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// Small answers are not held back: a reset would take them along.
+func TestSmallAnswersAreNotHeldBack(t *testing.T) {
+	_, h := counted(open())
+	s, addr := serve(t, h, 9)
+	nc, r := dial(t, addr)
+	_, _ = io.WriteString(nc, sized)
+	if _, err := r.Response(); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		on := 0
+		_ = raw.Control(func(fd uintptr) { on, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) })
+		if on != 1 {
+			t.Error("TCP_NODELAY is off")
+		}
+	}
+}
+
 // asked is a listener whose connections tell when they are asked to end.
 type asked struct {
 	net.Listener
--- a/internal/peer/crossings_test.go
+++ b/internal/peer/crossings_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"linkpass"
 	"linkpass/internal/coordinator"
 	"linkpass/internal/counters"
 	"linkpass/internal/end"
@@ -17,10 +19,11 @@
 
 // stage is a sink whose events the test puts in order: it can hold up the actor and the dials.
 type stage struct {
-	now    atomic.Int64
-	ended  chan coordinator.Result // without room: whoever tells waits for the test
-	late   chan struct{}           // nil: the first dial goes on at once; otherwise it waits for a word
-	dialed atomic.Bool
+	now     atomic.Int64
+	ended   chan coordinator.Result // without room: whoever tells waits for the test
+	telling atomic.Int64            // how many do
+	late    chan struct{}           // nil: the first dial goes on at once; otherwise it waits for a word
+	dialed  atomic.Bool
 }
 
 func (s *stage) Now() time.Duration { return time.Duration(s.now.Load()) }
@@ -30,9 +33,13 @@
 	}
 	return func() {}
 }
-func (s *stage) Ended(_ coordinator.AttemptID, r coordinator.Result) { s.ended <- r }
-func (s *stage) ProbeEnded(uint64, coordinator.Result)               {}
-func (s *stage) Written(coordinator.AttemptID)                       {}
+func (s *stage) Ended(_ coordinator.AttemptID, r coordinator.Result) {
+	s.telling.Add(1)
+	s.ended <- r
+	s.telling.Add(-1)
+}
+func (s *stage) ProbeEnded(uint64, coordinator.Result) {}
+func (s *stage) Written(coordinator.AttemptID)         {}
 
 const (
 	dialTime = 250 * time.Millisecond
@@ -40,13 +47,17 @@
 )
 
 func play(t *testing.T, s *stage) (p *peer.Peer, ln net.Listener) {
+	return playAs(t, s, frame.Dialect{MaxStreams: 2})
+}
+
+func playAs(t *testing.T, s *stage, d peer.Dialect) (p *peer.Peer, ln net.Listener) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.ended = make(chan coordinator.Result)
 	p = peer.New(peer.Config{Sink: s, Counters: counters.New(), Figures: counters.NewFigures(nil), ConnectTimeout: dialTime},
-		frame.Dialect{MaxStreams: 2}, "s-1", ln.Addr().String())
+		d, "s-1", ln.Addr().String())
 	p.Fit(true)
 	t.Cleanup(func() {
 		ln.Close()
@@ -110,7 +121,13 @@
 	want(t, s, end.Served)
 	late := part("l", 1)
 	late[0].Ends = 0
-	p.Call(late) // the actor waits for the test to hear of its end
+	for s.telling.Load() > 0 { // of the end of the first
+		time.Sleep(time.Millisecond)
+	}
+	p.Call(late)
+	for s.telling.Load() == 0 { // the actor waits for the test to hear of its end
+		time.Sleep(time.Millisecond)
+	}
 	p.Call(part("b", 2))
 	_ = first.Close()
 	for p.News() == 0 {
@@ -168,3 +185,48 @@
 		t.Error("TCP_NODELAY is off")
 	}
 }
+
+// deaf is a dialect whose reader hears nothing until it may.
+type deaf struct {
+	frame.Dialect
+	may chan struct{}
+}
+
+func (d deaf) Reader(r io.Reader) peer.Reader { return deafReader{d.Dialect.Reader(r), d.may} }
+
+type deafReader struct {
+	peer.Reader
+	may chan struct{}
+}
+
+func (r deafReader) Wait() error { <-r.may; return r.Reader.Wait() }
+
+// Crossing: a connection is reset between two writes, and the second begins before that is heard. What was out may
+// have run; what was being written never did, and only that may be sent again where nothing may be repeated.
+func TestAResetBetweenTwoWrites(t *testing.T) {
+	s := &stage{}
+	may := make(chan struct{})
+	p, ln := playAs(t, s, deaf{frame.Dialect{MaxStreams: 2}, may})
+	p.Call(part("a", 0))
+	nc, r := accept(t, ln)
+	next(t, r)
+	_ = nc.(*net.TCPConn).SetLinger(0)
+	_ = nc.Close()
+	raw, err := p.First().(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for reset := false; !reset; time.Sleep(time.Millisecond) {
+		_ = raw.Control(func(fd uintptr) {
+			_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			reset = err != syscall.EAGAIN
+		})
+	}
+	p.Call(part("b", 1))
+	want(t, s, end.Broken)
+	want(t, s, end.CutInWrite)
+	if end.CutInWrite.Code() != linkpass.ConnectFailed || end.Broken.Code() != linkpass.Reset {
+		t.Error("the module is told otherwise")
+	}
+	close(may)
+}
