--- a/router_test.go
+++ b/router_test.go
@@ -326,6 +326,31 @@
 	}
 }
 
+// Where servers tell nothing of their load, late parts say no more than that all are late: copies would go to
+// queues as full as those they are to pass, and what is called back goes on.
+func TestNoCopiesWhereLoadCannotBeSeen(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		set := settings()
+		if !told {
+			set.ReportFields = nil
+		}
+		b := newBed(t, set)
+		b.query(10, 0, 0)
+		first := b.sentTo(1, 2, 3)
+		b.after(1500 * ms)
+		if raced := len(of[Probe](b.last)) > 0; raced != told {
+			t.Errorf("reports %v: overdue part raced again: %v", told, raced)
+		}
+		if told {
+			continue
+		}
+		b.after(5*ms, closed(11, 0, first, Errored, 5*ms)) // a retry is no copy
+		if len(of[Probe](b.last)) == 0 {
+			t.Error("not sent again")
+		}
+	}
+}
+
 func TestNoOverlapWhereForbidden(t *testing.T) {
 	for _, copies := range []bool{true, false} {
 		set := settings()
