The close of a front does not wait for clients that were turned away

Seen by reading (http1/server.go, turnAway and Close, both of today): a connection past the cap lingers until its client closes or the clock ends it, and Close, which comes once the core's clock has ended, waited for it: the end would have hung until SIGKILL where such a client stayed. They are kept in a set and closed with the rest.

--- a/internal/http1/crossings_test.go
+++ b/internal/http1/crossings_test.go
@@ -138,10 +138,28 @@
 	}
 	_ = one.Close()
 	s.Clock.(*clock).pass(lingerLimit)
-	until(t, "their end", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.over == 0 })
+	until(t, "their end", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.over) == 0 })
 	close(may)
 }
 
+// Crossing: those that were turned away still linger as all is closed, and no clock ends that any more.
+func TestTheCloseDoesNotWaitForThoseTurnedAway(t *testing.T) {
+	s, addr := serve(t, func(context.Context, time.Duration, *Request) *Response { return nil }, 0)
+	nc, r := dial(t, addr)
+	_, _ = io.WriteString(nc, sized)
+	if res, err := r.Response(); err != nil || res.Status != 503 {
+		t.Fatalf("%+v %v", res, err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); s.Close() }()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("it waits for a client that stays")
+	}
+	_ = nc.Close()
+}
+
 // Crossing: bytes arrive before, with and after the close of a resting connection. What is there when
 // the wait ends is taken and answered; what comes later is read by nobody, and the client sees the end.
 func TestBytesAtTheCloseOfARestingConnection(t *testing.T) {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -71,7 +71,7 @@
 	draining bool
 	round    int // of draining: what was armed in an earlier one is void
 	stopped  bool
-	over     int // connections past the cap that linger
+	over     map[*conn]bool // connections past the cap that linger
 	wg       sync.WaitGroup
 }
 
@@ -138,17 +138,20 @@
 	_ = WriteResponse(c, &Response{Status: 503, Close: true}) // a new connection has room for so little
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.over == lingerOver || s.stopped {
+	if len(s.over) == lingerOver || s.stopped {
 		_ = c.Close()
 		return
 	}
-	s.over++
+	if s.over == nil {
+		s.over = map[*conn]bool{}
+	}
+	s.over[c] = true
 	s.wg.Add(1)
 	go func() {
 		c.linger()
 		_ = c.Close()
 		s.mu.Lock()
-		s.over--
+		delete(s.over, c)
 		s.mu.Unlock()
 		s.wg.Done()
 	}()
@@ -304,6 +307,9 @@
 	for c := range s.conns {
 		_ = c.Close()
 	}
+	for c := range s.over {
+		_ = c.Close()
+	}
 	s.mu.Unlock()
 	s.wg.Wait()
 }
