A burst of clients that leave while a connection comes up is forced from the core to the wire

TestABurstOfClientsThatLeave: five queries wait for a dial that the test holds up, their clients leave, a sixth stays; the first frame on the connection is the sixth's, also where nothing can be called back.

--- /dev/null
+++ b/internal/peer/burst_test.go
@@ -0,0 +1,108 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"linkpass"
+	"linkpass/internal/coordinator"
+	"linkpass/internal/counters"
+	"linkpass/internal/end"
+	"linkpass/internal/frame"
+	"linkpass/internal/peer"
+)
+
+// lateCore is a core before whose first dial the test stands.
+type lateCore struct {
+	*coordinator.Core
+	late   chan struct{}
+	dialed atomic.Bool
+}
+
+func (c *lateCore) Arm(at time.Duration, fire func()) func() {
+	if c.dialed.CompareAndSwap(false, true) {
+		<-c.late
+	}
+	return c.Core.Arm(at, fire)
+}
+
+// way is the way of a core to one peer.
+type way struct {
+	*peer.Peer
+	calls atomic.Int64
+}
+
+func (w *way) List(coordinator.List) {}
+func (w *way) Call(_ linkpass.ServerID, list []coordinator.Attempt) bool {
+	w.calls.Add(int64(len(list)))
+	return w.Peer.Call(list)
+}
+func (w *way) Cancel(_ linkpass.ServerID, id coordinator.AttemptID) { w.Peer.Cancel(id) }
+func (w *way) Probe(linkpass.ServerID, uint64) bool                 { return false }
+func (w *way) Forget(linkpass.ServerID, uint64)                     {}
+
+// Crossing: a burst of clients leaves while their queries wait for a connection. Nothing can be called back here, and
+// none of them is sent on once it is up; one that stays is.
+func TestABurstOfClientsThatLeave(t *testing.T) {
+	set := linkpass.Settings{Tick: 5 * time.Millisecond, Peers: 1, Shards: 1, Cells: 1, Reach: 1, CallParts: 1, MaxAttempts: 3,
+		AnswerSlack: 20 * time.Millisecond, Classes: []linkpass.Class{{Aim: 20 * time.Second, Deadline: 30 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+	core, err := coordinator.New(coordinator.Config{Settings: set, Seed: 7, Counters: counters.New(), Figures: counters.NewFigures(make([]string, 1))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sink := &lateCore{Core: core, late: make(chan struct{})}
+	ln := listenTCP(t)
+	w := &way{Peer: peer.New(peer.Config{Sink: sink, Counters: counters.New(), Figures: counters.NewFigures(nil), ConnectTimeout: patience},
+		frame.Dialect{MaxStreams: 64}, "s-1", ln.Addr().String())}
+	w.Fit(true)
+	core.Bind(w)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); core.Run(ctx) }()
+	t.Cleanup(func() { w.Close(); w.Wait(); cancel(); <-done })
+	core.List(coordinator.List{Mode: linkpass.ListFull, Members: []coordinator.Member{{Entry: linkpass.Entry{Server: 1, State: linkpass.Ready}}}})
+	const burst = 5 // as many as the module admits with no latency known
+	answers := make(chan coordinator.Answer, burst+1)
+	ask := func(name string) (leave func()) {
+		return core.Submit(coordinator.Query{Name: name, Began: core.Now(), Timeout: 30 * time.Second,
+			Parts: []coordinator.Part{{Weight: 1, Text: []byte("x")}}, Reply: func(a coordinator.Answer) { answers <- a }})
+	}
+	handed := func(n int64) {
+		for w.calls.Load() < n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	var leave []func()
+	for i := range burst {
+		leave = append(leave, ask(fmt.Sprint("leaves", i)))
+	}
+	handed(burst)
+	for _, l := range leave {
+		l()
+	}
+	for range burst {
+		if a := <-answers; a.Verdict != coordinator.Failed {
+			t.Errorf("%+v", a)
+		}
+	}
+	ask("stays")
+	handed(burst + 1)
+	sink.late <- struct{}{}
+	nc, r := accept(t, ln)
+	if got := next(t, r); got != "s" {
+		t.Errorf("%q was sent on", got)
+	}
+	_, _ = nc.Write(frame.Append(nil, frame.Answer, []byte("stays.0 200 1 -\nv")))
+	if a := <-answers; a.Verdict != coordinator.Answered {
+		t.Errorf("%+v", a)
+	}
+	if n := core.Held(); n != 0 {
+		t.Errorf("%d queries and parts are held", n)
+	}
+	if end.Withheld.Code() != linkpass.Moot {
+		t.Error("what was not sent counts as run")
+	}
+}
--- a/internal/peer/crossings_test.go
+++ b/internal/peer/crossings_test.go
@@ -46,15 +46,21 @@
 	patience = 10 * time.Second // with what is bound to come
 )
 
+func listenTCP(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
 func play(t *testing.T, s *stage) (p *peer.Peer, ln net.Listener) {
 	return playAs(t, s, frame.Dialect{MaxStreams: 2})
 }
 
 func playAs(t *testing.T, s *stage, d peer.Dialect) (p *peer.Peer, ln net.Listener) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln = listenTCP(t)
 	s.ended = make(chan coordinator.Result)
 	p = peer.New(peer.Config{Sink: s, Counters: counters.New(), Figures: counters.NewFigures(nil), ConnectTimeout: dialTime},
 		d, "s-1", ln.Addr().String())
