--- a/router.go
+++ b/router.go
@@ -25,7 +25,7 @@
 	overdueGuess   = 0.4  // stands in for it before latencies are known, as a share of the aim
 	hedgeShare     = 0.6  // of the budget is open to second copies; the rest is kept for retries
 	copiesFree     = 10   // second copies may go out, and ...
-	copiesShare    = 0.1  // ... of what was taken lately: all further attempts count, as more feed a jam ...
+	copiesShare    = 0.1  // ... of what was taken lately: all further attempts count, as more feed a jam
 	finalMargin    = 2    // in ticks, is kept before the client's time to end a query
 	rounding       = 1e-4 // forgives sums of part weights
 	slowRatio      = 3    // at so many medians of its class a latency is half good
@@ -545,7 +545,7 @@
 	}
 }
 
-// mayResend tells whether a further attempt of a part is allowed now, as it is asked again on sending.
+// mayResend tells whether a further attempt is allowed now and on sending; no copy where load is unseen.
 func (r *Router) mayResend(p *part, hedge bool) bool {
 	if p.bare || p.spent+len(p.tried) <= 0 {
 		return !p.bare
@@ -557,7 +557,7 @@
 	}
 	taken, extras := float64(r.arrivals.count(r.now)), float64(r.extras.count(r.now)+1)
 	budget := r.set.BudgetFree + r.set.BudgetShare*taken
-	if hedge && (len(r.set.ReportFields) == 0 || extras > copiesFree+copiesShare*taken) { // ... unseen
+	if hedge && (len(r.set.ReportFields) == 0 || extras > copiesFree+copiesShare*taken) {
 		return false
 	} else if hedge {
 		budget *= hedgeShare
