store: a leader that has not applied its log no longer replaces the settings

Cause: Propose checked for leadership and then looked at the applied state. A newly elected leader has not applied its log yet, took the settings for uninitialized, and proposed its file as ReplaceSettings with ExpectedVersion 0. PromoteLearner compared a learner with the same unapplied version.

Change: proposals and changes of members wait for a barrier, once a term. A change carries the version that it was built on.

--- a/internal/eventlog/events_store.go
+++ b/internal/eventlog/events_store.go
@@ -32,6 +32,14 @@
 		Meaning: "the store applied a change of the search settings",
 		Action:  "nothing",
 	})
+	SettingsInitialized = register(Event{
+		Component: "store", Name: "settings_initialized", Level: hclog.Info,
+		Fields: []string{"version"},
+		Meaning: "no settings were replicated before; those of this instance's file are the first ones, at this " +
+			"version of the state",
+		Action: "nothing, once in the life of a store; a second one means that committed settings were replaced: " +
+			"report it with the log",
+	})
 	SettingsRejected = register(Event{
 		Component: "store", Name: "settings_rejected", FormerName: "settings_bad", Level: hclog.Warn,
 		Fields:  []string{"index", "err"},
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -75,6 +75,22 @@
 	return awaitRead(ctx, operation, s.raft.Barrier(quorumTimeout))
 }
 
+// awaitEarlierTerms waits until this leader has applied every entry that was committed in an earlier term, for at most
+// quorumTimeout. An instance leads as soon as it is elected: its log has those entries then, but it may not have applied
+// them, because only an entry of its own term tells that they are committed. One barrier per term is enough, because
+// the leader applies the entries of its own term before it confirms them.
+func (s *Store) awaitEarlierTerms(ctx context.Context, operation string) error {
+	term := s.raft.CurrentTerm()
+	if s.barrierTerm.Load() == term {
+		return nil
+	}
+	if err := s.barrier(ctx, operation); err != nil {
+		return err
+	}
+	s.barrierTerm.Store(term)
+	return nil
+}
+
 // await waits until a quorum has confirmed an operation, quorumTimeout has passed or the context has ended. The Raft
 // library does not bound how long its futures take: the goroutine ends when the future completes, at the latest when
 // leadership is lost.
--- a/internal/store/membership.go
+++ b/internal/store/membership.go
@@ -147,11 +147,15 @@
 	return err
 }
 
-// membersAsLeader returns the members after a quorum has confirmed that this instance is the leader.
+// membersAsLeader returns the members after a quorum has confirmed that this instance is the leader. The state of this
+// instance has all entries that were committed in earlier terms then.
 func (s *Store) membersAsLeader(ctx context.Context, operation string) ([]MemberStatus, error) {
 	if err := s.verifyLeader(ctx, operation); err != nil {
 		return nil, err
 	}
+	if err := s.awaitEarlierTerms(ctx, operation); err != nil {
+		return nil, err
+	}
 	return s.MemberStatuses()
 }
 
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -31,9 +31,14 @@
 	if err := s.checkLeader(); err != nil {
 		return config.Result{}, err
 	}
-	if err := s.initializeSettings(ctx, c); err != nil {
+	if err := s.awaitEarlierTerms(ctx, operation); err != nil {
 		return config.Result{}, err
 	}
+	if c.Kind != config.ReplaceSettings {
+		if err := s.ensureInitialized(ctx); err != nil {
+			return config.Result{}, err
+		}
+	}
 	return s.replicate(ctx, operation, c)
 }
 
@@ -50,20 +55,6 @@
 	return fmt.Sprintf("command %d on the settings", c.Kind)
 }
 
-// initializeSettings replicates this instance's settings before the first command, unless that command replaces the
-// settings: until then the settings come from each instance's own configuration, and the configurations may differ. The
-// caller holds the proposal lock.
-func (s *Store) initializeSettings(ctx context.Context, c config.Command) error {
-	if s.State().Initialized() || c.Kind == config.ReplaceSettings {
-		return nil
-	}
-	replace, err := replaceCommand(s.Settings())
-	if err != nil {
-		return err
-	}
-	return s.replicateApplied(ctx, "initialize the settings", *replace)
-}
-
 // replicateApplied replicates a command and returns an error if the state rejected it. The caller holds the proposal
 // lock.
 func (s *Store) replicateApplied(ctx context.Context, operation string, c config.Command) error {
@@ -84,6 +75,12 @@
 	if err != nil {
 		return config.Result{}, fmt.Errorf("store: encode command: %w", err)
 	}
+	return s.replicateEntry(ctx, operation, data)
+}
+
+// replicateEntry appends an entry to the log and waits until it is committed and applied at this instance. The caller
+// holds the proposal lock.
+func (s *Store) replicateEntry(ctx context.Context, operation string, data []byte) (config.Result, error) {
 	if len(data) > MaxCommandBytes {
 		return config.Result{}, fmt.Errorf("%w: %d bytes, at most %d are allowed",
 			ErrTooLarge, len(data), MaxCommandBytes)
--- a/internal/store/read.go
+++ b/internal/store/read.go
@@ -92,17 +92,13 @@
 	}
 }
 
-// readLease reads at the leader. Entries committed in earlier terms must have been applied; one barrier per term
-// ensures this.
+// readLease reads at the leader, once it has applied all entries that were committed in earlier terms.
 func (s *Store) readLease(ctx context.Context) (*searchconfig.Config, error) {
 	if err := s.checkLeader(); err != nil {
 		return nil, err
 	}
-	if term := s.raft.CurrentTerm(); s.barrierTerm.Load() != term {
-		if err := s.barrier(ctx, readOperation); err != nil {
-			return nil, err
-		}
-		s.barrierTerm.Store(term)
+	if err := s.awaitEarlierTerms(ctx, readOperation); err != nil {
+		return nil, err
 	}
 	settings := s.Settings()
 	return settings, s.checkLeader() // the lease may have ended while the settings were read
--- a/internal/store/settings.go
+++ b/internal/store/settings.go
@@ -71,29 +71,33 @@
 		return nil, err
 	}
 	defer s.unlockProposals()
-	current, err := s.Read(ctx)
-	if err != nil {
+	if _, err := s.Read(ctx); err != nil {
 		return nil, err
 	}
-	command, err := buildCommand(current)
+	state := s.State()
+	command, err := buildCommand(state.Settings())
 	if err != nil {
 		return nil, err
 	}
 	if command == nil {
-		return current, nil
+		return state.Settings(), nil
 	}
-	return s.replicateSettings(ctx, operation, *command)
+	return s.replicateSettings(ctx, operation, *command, state.SettingsVersion())
 }
 
-// replicateSettings replicates a command based on the current version of the settings, and returns the settings after
-// it. The caller holds the proposal lock.
+// replicateSettings replicates a command that was built on a version of the settings, and returns the settings after
+// it. It returns ErrConflict if that version is no longer current where the command is applied. The caller holds the
+// proposal lock.
 func (s *Store) replicateSettings(
-	ctx context.Context, operation string, c config.Command,
+	ctx context.Context, operation string, c config.Command, version uint64,
 ) (*searchconfig.Config, error) {
-	if err := s.initializeSettings(ctx, c); err != nil {
-		return nil, err
+	if version == 0 {
+		var err error
+		if version, err = s.initializeSettings(ctx); err != nil {
+			return nil, err
+		}
 	}
-	c.ExpectedVersion = s.State().SettingsVersion()
+	c.ExpectedVersion = version
 	if err := s.replicateApplied(ctx, operation, c); err != nil {
 		return nil, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,8 +31,8 @@
 	reporter      *positionReporter
 	changeLimiter *rate.Limiter // limits the changes that clients make
 
-	// barrierTerm is the last term in which readLease completed a barrier: all entries committed in earlier terms are
-	// applied here. It is 0 before the first barrier.
+	// barrierTerm is the last term in which awaitEarlierTerms completed a barrier: all entries committed in earlier
+	// terms are applied here. It is 0 before the first barrier.
 	barrierTerm atomic.Uint64
 
 	// proposalLock is the proposal lock: it serializes proposals, so that each is based on the state after the previous
