store: a complete document can be the first settings again, at revision 1

Cause: the settings of the instance's file were replicated before the document, and the revision of the first entry was fixed at 1 instead of following the state that the change was built on.

Change: a complete document is the first entry itself, and the revision follows the state that the caller saw, so that the entry still is a compare-and-set.

--- a/internal/store/initialize.go
+++ b/internal/store/initialize.go
@@ -11,18 +11,17 @@
 	"linkpass/internal/searchconfig"
 )
 
-// firstRevision is the revision of the first replicated settings.
-const firstRevision = 1
-
-// initializeSettings replicates this instance's settings as the first ones, because until then the settings come from
-// each instance's own file, and the files may differ. It returns the version of the settings after that. The caller
-// holds the proposal lock.
+// initializeSettings replicates the first settings, because until then the settings come from each instance's own file,
+// and the files may differ. before is the state without replicated settings that the caller has seen. It returns the
+// version of the settings after that. The caller holds the proposal lock.
 //
 // The entry is a compare-and-set on "no settings are replicated", which is decided where the entry is applied: a
 // leader cannot know whether another one has committed entries since it last looked. initializeSettings returns
 // ErrConflict if other settings came first; they are applied here then.
-func (s *Store) initializeSettings(ctx context.Context) (version uint64, err error) {
-	entry, err := initialDocument(s.Settings())
+func (s *Store) initializeSettings(
+	ctx context.Context, before *config.State, settings *searchconfig.Config,
+) (version uint64, err error) {
+	entry, err := initialDocument(settings, before.Settings().Revision+1)
 	if err != nil {
 		return 0, err
 	}
@@ -40,10 +39,11 @@
 // ensureInitialized replicates this instance's settings unless settings are replicated already. The caller holds the
 // proposal lock.
 func (s *Store) ensureInitialized(ctx context.Context) error {
-	if s.State().Initialized() {
+	state := s.State()
+	if state.Initialized() {
 		return nil
 	}
-	_, err := s.initializeSettings(ctx)
+	_, err := s.initializeSettings(ctx, state, state.Settings())
 	if errors.Is(err, ErrConflict) {
 		return nil
 	}
@@ -51,11 +51,11 @@
 }
 
 // initialDocument returns a log entry that makes settings the first replicated ones. It is a JSON document with its
-// revision, because all versions of the program reject one whose revision does not follow the current one, whereas a
-// ReplaceSettings command with ExpectedVersion 0 would replace any settings.
-func initialDocument(settings *searchconfig.Config) ([]byte, error) {
+// revision, 1 as a file has none, because all versions of the program reject one whose revision does not follow the
+// current one, whereas a ReplaceSettings command with ExpectedVersion 0 would replace any settings.
+func initialDocument(settings *searchconfig.Config, revision uint64) ([]byte, error) {
 	first := *settings
-	first.Revision = firstRevision
+	first.Revision = revision
 	data, err := json.Marshal(&first)
 	if err != nil {
 		return nil, fmt.Errorf("store: encode initial settings: %w", err)
--- a/internal/store/initialize_test.go
+++ b/internal/store/initialize_test.go
@@ -15,12 +15,12 @@
 	window := func(n int) *searchconfig.Config {
 		return &searchconfig.Config{Search: searchconfig.Defaults{MaxResultWindow: n}}
 	}
-	first, err := initialDocument(window(7))
+	first, err := initialDocument(window(7), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	requireSettingsApplied(t, f, first)
-	second, err := initialDocument(window(storedWindow))
+	second, err := initialDocument(window(storedWindow), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,8 @@
 		t.Fatal(err)
 	}
 	patch := config.Command{Kind: config.PatchSettings, Payload: []byte(windowPatch(8))}
-	if _, err := m.store.replicateSettings(t.Context(), "patch", patch, 0); !errors.Is(err, ErrConflict) {
+	file := config.NewState(m.config.InitialSettings)
+	if _, err := m.store.replicateSettings(t.Context(), "patch", patch, file); !errors.Is(err, ErrConflict) {
 		t.Errorf("error = %v, want ErrConflict", err)
 	}
 	if got := m.store.Settings().MaxResultWindow(); got != 7 {
--- a/internal/store/settings.go
+++ b/internal/store/settings.go
@@ -82,24 +82,42 @@
 	if command == nil {
 		return state.Settings(), nil
 	}
-	return s.replicateSettings(ctx, operation, *command, state.SettingsVersion())
+	return s.replicateSettings(ctx, operation, *command, state)
 }
 
-// replicateSettings replicates a command that was built on a version of the settings, and returns the settings after
-// it. It returns ErrConflict if that version is no longer current where the command is applied. The caller holds the
-// proposal lock.
+// replicateSettings replicates a command that was built on the settings of a state, and returns the settings after it.
+// It returns ErrConflict if they are no longer current where the command is applied. The caller holds the proposal lock.
 func (s *Store) replicateSettings(
-	ctx context.Context, operation string, c config.Command, version uint64,
+	ctx context.Context, operation string, c config.Command, before *config.State,
 ) (*searchconfig.Config, error) {
-	if version == 0 {
-		var err error
-		if version, err = s.initializeSettings(ctx); err != nil {
+	c.ExpectedVersion = before.SettingsVersion()
+	if !before.Initialized() {
+		if c.Kind == config.ReplaceSettings {
+			return s.replicateFirstSettings(ctx, before, c.Payload)
+		}
+		version, err := s.initializeSettings(ctx, before, before.Settings())
+		if err != nil {
 			return nil, err
 		}
+		c.ExpectedVersion = version
 	}
-	c.ExpectedVersion = version
 	if err := s.replicateApplied(ctx, operation, c); err != nil {
 		return nil, err
 	}
 	return s.Settings(), nil
 }
+
+// replicateFirstSettings replicates a complete document as the first settings, in place of those of this instance's
+// file, and returns the settings after it.
+func (s *Store) replicateFirstSettings(
+	ctx context.Context, before *config.State, document []byte,
+) (*searchconfig.Config, error) {
+	settings, err := searchconfig.Parse(document)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := s.initializeSettings(ctx, before, settings); err != nil {
+		return nil, err
+	}
+	return s.Settings(), nil
+}
