A restarted coordinator restores its state and answers searches once it has caught up

Cause: Raft applies the entries on disk only after a leader has told that they are committed. Until then store.Open left the settings of the operators' file in force, and nothing told them from committed ones.

Change: the index of the last applied command is on disk before its effect is seen, and a start replays the log up to it. What needs the settings is refused (503, counted) until the instance has applied what was committed while it was down. The follower asks the leader for a version that a quorum confirms, because the leader may wait 5 s before it sends the log. Resharding uses settings that the leader applied.

--- a/internal/daemon/member_calls.go
+++ b/internal/daemon/member_calls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 
 	"linkpass/internal/config/restriction"
@@ -18,7 +19,9 @@
 const (
 	restrictionsPath = "/_linkpass/orders"  // broadcasts pending restrictions
 	versionPath      = "/_linkpass/version" // reads the version of the member's state
-	positionPath     = "/_linkpass/marks"   // reports how far the log of the caller is
+	// confirmedVersionPath reads the leader's version, after a quorum has confirmed it.
+	confirmedVersionPath = "/_linkpass/confirmed_version"
+	positionPath         = "/_linkpass/marks" // reports how far the log of the caller is
 )
 
 // errConflict means a response with status 409, whose body gives the reason.
@@ -38,6 +41,20 @@
 	return err
 }
 
+// leaderVersion asks the leader for the version of its state. A member that does not lead, or runs an older version of
+// the program, gives an error.
+func leaderVersion(ctx context.Context, leader store.Member) (uint64, error) {
+	text, err := callMember(ctx, leader.HTTP, "GET", confirmedVersionPath, nil)
+	if err != nil {
+		return 0, err
+	}
+	version, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s at %s: %w", confirmedVersionPath, leader.HTTP, err)
+	}
+	return version, nil
+}
+
 // broadcastTo returns the function that sends this instance's pending restrictions to the member at addr.
 func broadcastTo(instance, addr string) func(context.Context, []restriction.Request) error {
 	return func(ctx context.Context, pending []restriction.Request) error {
--- a/internal/daemon/member_handler.go
+++ b/internal/daemon/member_handler.go
@@ -30,6 +30,8 @@
 	case req.Path == versionPath && req.Method == "GET":
 		version := h.registry.store.get().State().Version()
 		return &http1.Response{Status: 200, Body: strconv.AppendUint(nil, version, 10)}
+	case req.Path == confirmedVersionPath && req.Method == "GET":
+		return h.confirmedVersion(ctx)
 	case req.Path == positionPath:
 		return h.receivePosition(req)
 	case req.Path == restrictionsPath:
@@ -38,6 +40,15 @@
 	return h.front.Serve(ctx, began, req)
 }
 
+// confirmedVersion returns the version of the state if this instance leads the store.
+func (h *memberHandler) confirmedVersion(ctx context.Context) *http1.Response {
+	version, err := h.registry.store.get().ConfirmedVersion(ctx)
+	if err != nil {
+		return &http1.Response{Status: 503, Body: []byte(err.Error() + "\n")}
+	}
+	return &http1.Response{Status: 200, Body: strconv.AppendUint(nil, version, 10)}
+}
+
 // receivePosition handles another member's report of how far its log is.
 func (h *memberHandler) receivePosition(req *http1.Request) *http1.Response {
 	var report rollback.Report
--- a/internal/daemon/replicated_store.go
+++ b/internal/daemon/replicated_store.go
@@ -25,16 +25,16 @@
 	return nil
 }
 
-// IsLeader reports whether this instance is the leader; false while the store is not open.
-func (s *replicatedStore) IsLeader() bool {
+// LeaderSettings returns the settings if this instance leads the store and has applied all that earlier leaders have
+// committed; otherwise an error.
+func (s *replicatedStore) LeaderSettings(ctx context.Context) (*searchconfig.Config, error) {
 	opened := s.get()
-	return opened != nil && opened.IsLeader()
+	if opened == nil {
+		return nil, store.ErrNoLeader
+	}
+	return opened.ReadWith(ctx, store.ReadOptions{Consistency: store.Lease})
 }
 
-// Settings returns the settings as this instance has them. The store must be open; it is, because only a leader calls
-// this.
-func (s *replicatedStore) Settings() *searchconfig.Config { return s.get().Settings() }
-
 // AdvanceShardMap proposes a step of a shard map. The store must be open; it is, because only a leader calls this.
 func (s *replicatedStore) AdvanceShardMap(ctx context.Context, index string, c shardmap.Command) error {
 	return s.get().AdvanceShardMap(ctx, index, c)
--- a/internal/daemon/search_front.go
+++ b/internal/daemon/search_front.go
@@ -7,6 +7,7 @@
 	"linkpass/internal/http1"
 	"linkpass/internal/lifecycle"
 	"linkpass/internal/opensearch"
+	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
 
@@ -41,9 +42,10 @@
 	if f.cfg.Search.Listen == "" {
 		return nil, nil
 	}
-	f.shards.publisher.publish(f.settings.fromFile.Load())
 	settingsHandler := opensearch.FixedSettingsHandler(f.settings.fromFile.Load)
-	if f.cfg.Search.Store.ID != "" {
+	if f.cfg.Search.Store.ID == "" {
+		f.shards.publisher.publish(f.settings.fromFile.Load())
+	} else {
 		s, err := f.openStore()
 		if err != nil {
 			return nil, err
@@ -63,11 +65,13 @@
 	return front, nil
 }
 
-// openStore opens the store. Its settings are in force once it is open.
+// openStore opens the store, which publishes the settings and the overrides that this instance had applied when it last
+// ran. They are in force once it is open, whether or not a leader is known.
 func (f *searchFront) openStore() (*store.Store, error) {
 	c := f.cfg.Search.Store
 	c.InitialSettings, c.OnSettingsChanged = f.settings.fromFile.Load(), f.shards.publisher.publish
 	c.OnApplied, c.ReportPosition = f.registry.registry.LogApplied, reportPosition
+	c.LeaderVersion = leaderVersion
 	s, err := store.Open(c)
 	if err != nil {
 		return nil, err
@@ -83,12 +87,13 @@
 		Core:         f.core.core,
 		Shards:       f.cfg.routingSettings.Shards,
 		Counters:     f.counters,
-		SearchConfig: *f.settings.source.Load(),
+		SearchConfig: func() (*searchconfig.Config, error) { return f.settings.fromFile.Load(), nil },
 		Settings:     settingsHandler,
 		Prefix:       strconv.FormatUint(f.cfg.seed, 16),
 		BodyStore:    f.bodies.store,
 	}
 	if s := f.store.get(); s != nil {
+		front.SearchConfig = s.CaughtUpSettings
 		front.SettingsUpdater = searchSettings{s}
 	}
 	for i, name := range f.cfg.host.Classes {
--- a/internal/eventlog/events_store.go
+++ b/internal/eventlog/events_store.go
@@ -18,6 +18,20 @@
 			"entry, and the state that it has stays in force here",
 		Action: "upgrade this instance to the others' version and restart it; searches continue meanwhile",
 	})
+	StoreStateRestored = register(Event{
+		Component: "store", Name: "store_state_restored", Level: hclog.Info,
+		Fields: []string{"version", "index"},
+		Meaning: "the state that this instance had applied when it last ran is read from its disk, up to this entry; its drains " +
+			"and protocols are in force from here on",
+		Action: "nothing; `store_caught_up` follows once the instance has what was committed meanwhile",
+	})
+	StoreCaughtUp = register(Event{
+		Component: "store", Name: "store_caught_up", Level: hclog.Info,
+		Fields:  []string{"version", "waited_ms"},
+		Meaning: "this instance has applied all that was committed before its start; searches are answered from here on",
+		Action: "nothing; if it does not follow `store_state_restored` within seconds, make sure that a quorum of the members runs " +
+			"and that this one reaches it",
+	})
 	StoreRolledBack = register(Event{
 		Component: "store", Name: "store_rolled_back", FormerName: "store_restored", Level: hclog.Error,
 		Fields: []string{"err"},
@@ -35,8 +49,8 @@
 	SettingsInitialized = register(Event{
 		Component: "store", Name: "settings_initialized", Level: hclog.Info,
 		Fields: []string{"version"},
-		Meaning: "no settings were replicated before; those of this instance's file are the first ones, at this " +
-			"version of the state",
+		Meaning: "no settings were replicated before; the first ones, those of this instance's file or a complete " +
+			"document, are in force from this version of the state on",
 		Action: "nothing, once in the life of a store; a second one means that committed settings were replaced: " +
 			"report it with the log",
 	})
--- a/internal/opensearch/errors.go
+++ b/internal/opensearch/errors.go
@@ -22,6 +22,7 @@
 	errTypeNotLeader        = "not_cluster_manager_exception"            // store: another member leads
 	errTypeNoLeader         = "cluster_manager_not_discovered_exception" // store: no leader known
 	errTypeNoQuorum         = "process_cluster_event_timeout_exception"  // store: no quorum within the time
+	errTypeClusterBlock     = "cluster_block_exception"                  // store: not caught up since the start
 	errTypeVersionConflict  = "version_conflict_engine_exception"        // store: compare-and-set failed
 	errTypeNoShardAvailable = "no_shard_available_action_exception"      // attempt: none was made
 	errTypeRemoteTransport  = "remote_transport_exception"               // attempt: any other failure
@@ -58,6 +59,18 @@
 	MapVersion uint64 `json:"layout_version,omitempty"`
 }
 
+// catchUpRetryAfter is the Retry-After of a request that came before the settings are known, in seconds.
+const catchUpRetryAfter = "1.000"
+
+// settingsUnknown returns the error of a request that needs the settings before they are known.
+func settingsUnknown(err error) *apiError {
+	return &apiError{
+		Type:   errTypeClusterBlock,
+		Reason: "blocked by: [SERVICE_UNAVAILABLE/1/state not recovered / initialized]; " + err.Error(),
+		Status: 503,
+	}
+}
+
 func badRequest(errType, reason string) *apiError {
 	return &apiError{Type: errType, Reason: reason, Status: 400}
 }
--- a/internal/opensearch/fakes_test.go
+++ b/internal/opensearch/fakes_test.go
@@ -44,12 +44,17 @@
 	}
 }
 
+// known returns a source of settings that are always known.
+func known(config func() *searchconfig.Config) func() (*searchconfig.Config, error) {
+	return func() (*searchconfig.Config, error) { return config(), nil }
+}
+
 func newFront(c *fakeCore) *Front {
 	return &Front{
 		Core:         c,
 		Classes:      []Class{{"league-table", 5 * time.Second, 3}, {"team-lookup", 2500 * time.Millisecond, 1}},
 		Shards:       6,
-		SearchConfig: testConfig,
+		SearchConfig: known(testConfig),
 		Settings:     FixedSettingsHandler(testConfig),
 		Prefix:       "n0",
 		Counters:     metrics.NewCounters(),
@@ -125,7 +130,8 @@
 	}
 	updater := &fakeSettingsUpdater{config}
 	f := newFront(c)
-	f.SearchConfig, f.SettingsUpdater = func() *searchconfig.Config { return updater.config }, updater
+	f.SearchConfig = known(func() *searchconfig.Config { return updater.config })
+	f.SettingsUpdater = updater
 	return f, updater
 }
 
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -33,10 +33,12 @@
 // Front serves OpenSearch's HTTP API to clients. Its fields are set before the first request; its methods may be
 // called concurrently.
 type Front struct {
-	Core            Core
-	Classes         []Class // indexed by class number
-	Shards          int     // number of shards of the site; an index of fixed shards numbers them from 0
-	SearchConfig    func() *searchconfig.Config
+	Core    Core
+	Classes []Class // indexed by class number
+	Shards  int     // number of shards of the site; an index of fixed shards numbers them from 0
+	// SearchConfig returns the settings in force. Its error means that they are not known yet, as this instance has not
+	// caught up with the store since its start; nothing is answered from settings that may be older then.
+	SearchConfig    func() (*searchconfig.Config, error)
 	Settings        http1.Handler    // serves /_cluster/settings
 	SettingsUpdater SettingsUpdater  // updates shard maps; nil: they come from a file and don't change
 	BodyStore       *bodystore.Store // stores the bodies of large searches; nil: these stay in memory
@@ -69,6 +71,16 @@
 	return f.reject(illegalArgument("no handler found for uri [%.200s] and method [%s]", req.Path, req.Method))
 }
 
+// currentConfig returns the settings in force, or the error of a request that needs them while they are not known.
+func (f *Front) currentConfig() (*searchconfig.Config, error) {
+	config, err := f.SearchConfig()
+	if err != nil {
+		f.Counters.Add("search_not_caught_up", 1)
+		return nil, settingsUnknown(err)
+	}
+	return config, nil
+}
+
 // reject counts and logs a request that can't be served and returns the response: err if it is an apiError, and
 // otherwise an illegal argument with status 400.
 func (f *Front) reject(err error) *http1.Response {
@@ -78,5 +90,9 @@
 	}
 	f.Counters.Add("search_rejected", 1)
 	f.rejections.Log(eventlog.SearchRejected, e.Status, e.Type, e.Reason)
-	return errorResponse(e)
+	response := errorResponse(e)
+	if e.Type == errTypeClusterBlock {
+		response.Header["Retry-After"] = []string{catchUpRetryAfter}
+	}
+	return response
 }
--- a/internal/opensearch/reroute.go
+++ b/internal/opensearch/reroute.go
@@ -55,7 +55,7 @@
 	}
 	var next *searchconfig.Config
 	if dryRun {
-		next, err = change(f.SearchConfig())
+		next, err = f.dryRun(change)
 	} else {
 		next, err = f.SettingsUpdater.UpdateSettings(change)
 	}
@@ -65,6 +65,15 @@
 	return rerouteResponse(next, changed, dryRun)
 }
 
+// dryRun returns the settings after a change that is not made.
+func (f *Front) dryRun(change func(*searchconfig.Config) (*searchconfig.Config, error)) (*searchconfig.Config, error) {
+	config, err := f.currentConfig()
+	if err != nil {
+		return nil, err
+	}
+	return change(config)
+}
+
 // decodeReroute decodes the body of a request. The name of the type rerouteCommand is part of the error texts that
 // clients get.
 func decodeReroute(data []byte) ([]map[string]rerouteCommand, error) {
@@ -156,6 +165,10 @@
 	if slices.ContainsFunc(invalidCommandErrors, isErr) {
 		return f.reject(illegalArgument("%s", strings.TrimPrefix(err.Error(), "store: ")))
 	}
+	var unknown *apiError
+	if errors.As(err, &unknown) {
+		return f.reject(err)
+	}
 	if errors.Is(err, store.ErrConflict) {
 		return errorResponse(&apiError{Type: errTypeVersionConflict, Reason: err.Error(), Status: 409})
 	}
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -63,7 +63,10 @@
 // planSearch reads a search and determines its class and its shards or key ranges. If it returns a body, the caller
 // must release that. The error is an apiError.
 func (f *Front) planSearch(index string, req *http1.Request) (s searchRequest, body coordinator.Body, err error) {
-	config := f.SearchConfig()
+	config, err := f.currentConfig()
+	if err != nil {
+		return s, nil, err
+	}
 	entry, ok := config.Indices[index]
 	if !ok {
 		return s, nil, indexNotFound(index)
--- a/internal/opensearch/search_golden_test.go
+++ b/internal/opensearch/search_golden_test.go
@@ -41,7 +41,7 @@
 		t.Run(c.file, func(t *testing.T) {
 			core := &fakeCore{answer: func(coordinator.Query) coordinator.Answer { return c.answer }}
 			f := newFront(core)
-			f.SearchConfig = goldenConfig(t)
+			f.SearchConfig = known(goldenConfig(t))
 			res, _ := serve(f, "POST", c.target, "")
 			goldentest.Bytes(t, c.file, responseBytes(t, res))
 		})
--- a/internal/opensearch/shard_lists.go
+++ b/internal/opensearch/shard_lists.go
@@ -20,7 +20,10 @@
 	if err != nil {
 		return f.reject(illegalArgument("%v", err))
 	}
-	config := f.SearchConfig()
+	config, err := f.currentConfig()
+	if err != nil {
+		return f.reject(err)
+	}
 	if _, ok := config.Indices[index]; index != "" && !ok {
 		return f.reject(indexNotFound(index))
 	}
@@ -77,7 +80,10 @@
 
 // searchShards serves /{index}/_search_shards: it lists the replicas among which a search would choose.
 func (f *Front) searchShards(index string, req *http1.Request) *http1.Response {
-	config := f.SearchConfig()
+	config, err := f.currentConfig()
+	if err != nil {
+		return f.reject(err)
+	}
 	if _, ok := config.Indices[index]; !ok {
 		return f.reject(indexNotFound(index))
 	}
--- a/internal/opensearch/shard_lists_golden_test.go
+++ b/internal/opensearch/shard_lists_golden_test.go
@@ -8,8 +8,8 @@
 
 func TestShardListsGolden(t *testing.T) {
 	f := newFront(&fakeCore{})
-	f.SearchConfig = goldenConfig(t)
-	f.Settings = FixedSettingsHandler(f.SearchConfig)
+	f.SearchConfig = known(goldenConfig(t))
+	f.Settings = FixedSettingsHandler(goldenConfig(t))
 	for _, c := range []struct{ file, method, target string }{
 		{"cat_shards.http", "GET", "/_cat/shards"},
 		{"cat_shards_v.http", "GET", "/_cat/shards/movable?v"},
--- a/internal/reshardexec/executor.go
+++ b/internal/reshardexec/executor.go
@@ -26,10 +26,10 @@
 
 // Store is the part of the replicated store that the executor uses.
 type Store interface {
-	// Settings returns the settings as this instance has applied them. They have the shard maps.
-	Settings() *searchconfig.Config
-	// IsLeader reports whether this instance leads the store, as far as it knows.
-	IsLeader() bool
+	// LeaderSettings returns the settings, which have the shard maps, if this instance leads the store and has applied
+	// all that earlier leaders have committed. Otherwise it returns an error: assignments from older settings would make
+	// servers drop their shards.
+	LeaderSettings(ctx context.Context) (*searchconfig.Config, error)
 	// AdvanceShardMap applies a command to the shard map of an index.
 	AdvanceShardMap(ctx context.Context, index string, c shardmap.Command) error
 }
@@ -148,7 +148,8 @@
 			limits = newLimits
 			e.controller = nil // the next one continues from the shard maps, as after a change of leader
 		}
-		if !e.cfg.Store.IsLeader() {
+		settings, err := e.cfg.Store.LeaderSettings(ctx)
+		if err != nil {
 			e.stepDown()
 			continue
 		}
@@ -157,7 +158,7 @@
 			e.controller = resharding.New(limits)
 			e.poller.resetReports()
 		}
-		e.runRound(ctx)
+		e.runRound(ctx, currentShardMaps(settings))
 	}
 }
 
@@ -168,8 +169,7 @@
 }
 
 // runRound polls every server once, then executes the actions that the controller decides on.
-func (e *Executor) runRound(ctx context.Context) {
-	shardMaps := currentShardMaps(e.cfg.Store.Settings())
+func (e *Executor) runRound(ctx context.Context, shardMaps map[string]*shardmap.Map) {
 	if len(shardMaps) == 0 {
 		return
 	}
--- a/internal/store/cluster_test.go
+++ b/internal/store/cluster_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"path/filepath"
@@ -17,6 +18,8 @@
 	members      []Member
 	stores       []*Store // by index of the member; nil if the instance is stopped
 	trailingLogs int      // Config.TrailingLogs of each instance
+	// leaderVersion is Config.LeaderVersion of the instances that are opened from now on.
+	leaderVersion func(context.Context, Member) (uint64, error)
 }
 
 // testTimeScale shortens Raft's timeouts so that tests take less time. No test asserts on these timeouts.
@@ -66,6 +69,7 @@
 		TimeScale:       testTimeScale,
 		TrailingLogs:    c.trailingLogs,
 		Listener:        ln,
+		LeaderVersion:   c.leaderVersion,
 		InitialSettings: &searchconfig.Config{Search: searchconfig.Defaults{MaxResultWindow: 50}},
 	})
 	if err != nil {
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -46,6 +46,9 @@
 	// ReportPosition sends this instance's position to another member. Its error wraps rollback.ErrRolledBack if that
 	// member has seen a later position. If it is nil, no reports are sent and a rolled-back disk is not detected.
 	ReportPosition func(context.Context, Member, rollback.Report) error `toml:"-"`
+	// LeaderVersion asks the leader for its ConfirmedVersion. If it is nil, or the leader does not know the call, a
+	// restarted follower waits until the leader sends it the log, which may take the leader some seconds.
+	LeaderVersion func(context.Context, Member) (uint64, error) `toml:"-"`
 	// Listener, if set, is used instead of a new listener on this member's Raft address. The store owns and closes it.
 	Listener net.Listener `toml:"-"`
 }
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -15,19 +15,44 @@
 // fsm is Raft's finite state machine: it applies committed entries to the replicated state. Raft calls it from a single
 // goroutine; readers may load the current state from any goroutine.
 type fsm struct {
-	current           atomic.Pointer[config.State]
+	// applied is the state after the last entry or snapshot that Raft passed to this process. Only Raft's goroutine
+	// uses it, and Open before that goroutine starts.
+	applied *config.State
+	// current is the state that readers see. Its version never decreases: after a start it is the state that was
+	// restored from disk, until Raft has passed entries that lead beyond that state.
+	current atomic.Pointer[config.State]
+	// appliedIndex is the index of the last command in the current state.
+	appliedIndex atomic.Uint64
+
 	halted            atomic.Pointer[error]      // cause of the halt; nil while entries are applied
 	onSettingsChanged func(*searchconfig.Config) // Config.OnSettingsChanged; may be nil
 	onApplied         func()                     // Config.OnApplied; may be nil
+	// recordIndex writes to disk that the entries up to an index are applied. It is nil if there is no disk.
+	recordIndex func(index uint64) error
 }
 
+var _ raft.BatchingFSM = (*fsm)(nil)
+
 // newFSM returns an FSM whose state holds settings that are not replicated yet.
 func newFSM(initial *searchconfig.Config) *fsm {
-	f := &fsm{}
-	f.current.Store(config.NewState(initial))
+	f := &fsm{applied: config.NewState(initial)}
+	f.current.Store(f.applied)
 	return f
 }
 
+// setRestored makes a state that was restored from disk the current one, and calls the callbacks. It must be called
+// before Raft uses the FSM.
+func (f *fsm) setRestored(r restoredState) {
+	f.current.Store(r.state)
+	f.appliedIndex.Store(r.index)
+	if f.onSettingsChanged != nil {
+		f.onSettingsChanged(r.state.Settings())
+	}
+	if f.onApplied != nil {
+		f.onApplied()
+	}
+}
+
 // halt makes the FSM reject all further entries and snapshots, and all reads except local ones, with the cause.
 func (f *fsm) halt(cause error) { f.halted.Store(&cause) }
 
@@ -39,44 +64,81 @@
 	return nil
 }
 
-// Apply applies one committed entry and returns a config.Result or an error. An entry of an unknown format halts the
-// FSM, because this replica would diverge if it skipped the entry. The state before that entry stays readable with
-// Local consistency; all other reads and all changes fail with the cause.
-func (f *fsm) Apply(entry *raft.Log) any {
-	if err := f.haltedErr(); err != nil {
-		return err
+// Apply applies one committed entry and returns a config.Result or an error.
+func (f *fsm) Apply(entry *raft.Log) any { return f.ApplyBatch([]*raft.Log{entry})[0] }
+
+// ApplyBatch applies committed entries and returns a config.Result or an error for each. Their index is on disk before
+// readers see their effect, so that whatever this process has acted on is in force again after a restart.
+//
+// An entry of an unknown format halts the FSM, because this replica would diverge if it skipped the entry. The state
+// before that entry stays readable with Local consistency; all other reads and all changes fail with the cause.
+func (f *fsm) ApplyBatch(entries []*raft.Log) []any {
+	responses := make([]any, len(entries))
+	last := uint64(0)
+	for i, entry := range entries {
+		if entry.Type != raft.LogCommand {
+			continue
+		}
+		if err := f.haltedErr(); err != nil {
+			responses[i] = err
+			continue
+		}
+		response := f.applyEntry(entry)
+		responses[i] = response
+		if err, ok := response.(error); ok && errors.Is(err, config.ErrUnknownFormat) {
+			f.publish(last) // before the halt is seen, so that the state is the one before this entry
+			f.halt(err)
+			eventlog.StoreHalted.Log(entry.Index, err)
+			continue
+		}
+		last = entry.Index
 	}
-	current := f.current.Load()
-	command, err := decodeEntry(entry.Data, current)
+	f.publish(last)
+	return responses
+}
+
+// applyEntry applies one entry to the applied state, which readers do not see yet. The response is an error that wraps
+// config.ErrUnknownFormat if a later version of the program could decode the entry.
+func (f *fsm) applyEntry(entry *raft.Log) any {
+	command, err := decodeEntry(entry.Data, f.applied)
 	if err != nil {
-		return f.rejectEntry(entry.Index, err)
+		err = fmt.Errorf("store: entry %d: %w", entry.Index, err)
+		if !errors.Is(err, config.ErrUnknownFormat) {
+			eventlog.SettingsRejected.Log(entry.Index, err)
+		}
+		return err
 	}
-	next, result := current.Apply(command)
-	f.publish(next)
+	next, result := f.applied.Apply(command)
 	if result.Reason != config.Applied {
 		eventlog.SettingsRejected.Log(entry.Index, rejectionError(result))
-	} else if next.Settings() != current.Settings() {
+	} else if next.Settings() != f.applied.Settings() {
 		eventlog.SettingsChanged.Log(entry.Index)
 	}
+	f.applied = next
 	return result
 }
 
-// rejectEntry logs an entry that cannot be decoded. It halts the FSM if a newer version could decode the entry.
-func (f *fsm) rejectEntry(index uint64, cause error) error {
-	err := fmt.Errorf("store: entry %d: %w", index, cause)
-	if errors.Is(err, config.ErrUnknownFormat) {
-		f.halt(err)
-		eventlog.StoreHalted.Log(index, err)
-	} else {
-		eventlog.SettingsRejected.Log(index, err)
+// record writes to disk that the entries up to an index are applied. After a failure the next start restores an older
+// state until it has caught up; nothing else is lost.
+func (f *fsm) record(index uint64) {
+	if f.recordIndex == nil || index <= f.appliedIndex.Load() {
+		return // an entry that an earlier process has applied
+	}
+	if err := f.recordIndex(index); err != nil {
+		eventlog.StoreFailed.Log(err)
 	}
-	return err
 }
 
-// publish makes a state the current one and calls the callbacks.
-func (f *fsm) publish(next *config.State) {
-	previous := f.current.Load()
+// publish makes the applied state, whose last command has the given index, the current one and calls the callbacks. It
+// does nothing while the current state is a later one. Index 0 means that the index is not known.
+func (f *fsm) publish(index uint64) {
+	next, previous := f.applied, f.current.Load()
+	if next.Version() < previous.Version() {
+		return
+	}
+	f.record(index)
 	f.current.Store(next)
+	f.appliedIndex.Store(max(index, f.appliedIndex.Load()))
 	if f.onSettingsChanged != nil && next.Settings() != previous.Settings() {
 		f.onSettingsChanged(next.Settings())
 	}
@@ -86,7 +148,7 @@
 }
 
 // decodeEntry decodes an entry. Logs written before commands existed hold JSON documents of the complete settings, each
-// with the revision that it creates; they stay readable.
+// with the revision that it creates; they stay readable, and the first settings of a store are such a document still.
 func decodeEntry(data []byte, current *config.State) (config.Command, error) {
 	if !isJSONDocument(data) {
 		return config.Decode(data)
--- a/internal/store/read.go
+++ b/internal/store/read.go
@@ -112,14 +112,18 @@
 	if s.IsLeader() {
 		return s.readLease(ctx)
 	}
+	// After a start, heartbeats come before the log: they are contact with the leader, but they tell no commit index.
+	if err := s.CaughtUp(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStale, err)
+	}
 	// Loaded before the settings, so that entries committed in between cannot make the settings older than maxAge.
 	lastContact, committed := s.raft.LastContact(), s.raft.CommitIndex()
 	if age := time.Since(lastContact); lastContact.IsZero() || age > maxAge {
 		return nil, fmt.Errorf("%w: last contact with the leader was %s ago, the limit is %s",
 			ErrStale, age.Round(time.Millisecond), maxAge)
 	}
-	if applied := s.raft.AppliedIndex(); applied < committed {
-		return nil, fmt.Errorf("%w: %d committed entries are not applied yet", ErrStale, committed-applied)
+	if !s.hasApplied(committed) {
+		return nil, fmt.Errorf("%w: committed entries are not applied yet", ErrStale)
 	}
 	return s.Settings(), nil
 }
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -10,16 +10,16 @@
 	"linkpass/internal/searchconfig"
 )
 
-// Snapshot captures the current state. A halted FSM returns an error: its snapshot would claim to include entries that
+// Snapshot captures the applied state. A halted FSM returns an error: its snapshot would claim to include entries that
 // were not applied.
 func (f *fsm) Snapshot() (raft.FSMSnapshot, error) {
 	if err := f.haltedErr(); err != nil {
 		return nil, err
 	}
-	return snapshot{f.current.Load()}, nil
+	return snapshot{f.applied}, nil
 }
 
-// Restore replaces the state with that of a snapshot, and ends a halt.
+// Restore replaces the applied state with that of a snapshot, and ends a halt.
 func (f *fsm) Restore(in io.ReadCloser) error {
 	defer in.Close()
 	data, err := io.ReadAll(in)
@@ -31,7 +31,8 @@
 		return fmt.Errorf("store: restore snapshot: %w", err)
 	}
 	f.halted.Store(nil)
-	f.publish(state)
+	f.applied = state
+	f.publish(0)
 	return nil
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,12 +4,14 @@
 // It owns the Raft node, its log and snapshots, the membership of the cluster, and the detection of members whose
 // disk was rolled back to an old image. It does not define the state or its commands (package config does) and does not
 // serve HTTP. It is not on the path of a search: while the store is down, routing continues with the last known
-// settings.
+// settings. A process does not know them until it has caught up with the log once (CaughtUp).
 package store
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +29,8 @@
 	config        Config
 	raft          *raft.Raft
 	bolt          *raftboltdb.BoltStore
+	snapshots     raft.SnapshotStore
+	transport     *commitObserver
 	fsm           *fsm
 	reporter      *positionReporter
 	changeLimiter *rate.Limiter // limits the changes that clients make
@@ -35,6 +39,14 @@
 	// terms are applied here. It is 0 before the first barrier.
 	barrierTerm atomic.Uint64
 
+	// caughtUp is set once this instance has applied all entries that were committed before its start. It is never
+	// reset: an instance that loses contact with the leader later keeps the state last known.
+	caughtUp atomic.Bool
+	// appliedUpTo is an index up to which hasApplied has found all entries applied.
+	appliedUpTo  atomic.Uint64
+	stopCatchUp  context.CancelFunc // ends the goroutine of awaitCatchUp
+	catchUpEnded sync.WaitGroup     // of the goroutine of awaitCatchUp
+
 	// proposalLock is the proposal lock: it serializes proposals, so that each is based on the state after the previous
 	// one. A caller holds the lock while its element is in the channel, whose capacity is 1. It is a channel rather
 	// than a mutex so that a context can end the wait.
@@ -63,22 +75,35 @@
 	}
 	s.fsm.onSettingsChanged = c.OnSettingsChanged
 	s.fsm.onApplied = c.OnApplied
+	s.fsm.recordIndex = s.recordAppliedIndex
 	if err := s.startRaft(self); err != nil {
 		_ = bolt.Close()
 		return nil, err
 	}
 	s.reporter.start(s.currentPosition, s.Members, s.haltRolledBack)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopCatchUp = cancel
+	if !s.caughtUp.Load() {
+		s.catchUpEnded.Go(func() { s.awaitCatchUp(ctx) })
+	}
 	return s, nil
 }
 
-// startRaft records this start of the instance, and then starts its Raft node. The order matters: the start must be
-// reported to the other members before the node is able to vote.
+// startRaft restores the state that this instance had applied, records this start, and then starts the Raft node. The
+// order matters: the start must be reported to the other members before the node is able to vote, and the state must be
+// restored before the node applies entries.
 func (s *Store) startRaft(self Member) error {
 	logger := eventlog.RaftLogger()
 	snapshots, err := openSnapshots(s.config.Dir, logger)
 	if err != nil {
 		return err
 	}
+	s.snapshots = snapshots
+	restored, err := s.restoreState(snapshots)
+	if err != nil {
+		return err
+	}
+	s.fsm.setRestored(restored)
 	if err := s.recordBoot(snapshots); err != nil {
 		return err
 	}
@@ -86,8 +111,9 @@
 	if err != nil {
 		return err
 	}
-	if err := s.startNode(snapshots, transport, logger); err != nil {
-		_ = transport.Close()
+	s.transport = newCommitObserver(transport)
+	if err := s.startNode(logger); err != nil {
+		_ = s.transport.Close()
 		return err
 	}
 	return nil
@@ -105,20 +131,22 @@
 	return newNetworkTransport(listener, logger), nil
 }
 
-// startNode starts the Raft node. If there is no state on disk and Join is not set, it bootstraps a new cluster first.
-func (s *Store) startNode(snapshots raft.SnapshotStore, transport raft.Transport, logger hclog.Logger) error {
+// startNode starts the Raft node. If there is no state on disk and Join is not set, it bootstraps a new cluster first:
+// nothing was committed before then, as far as this instance can know.
+func (s *Store) startNode(logger hclog.Logger) error {
 	rc := s.config.raftConfig(logger)
-	existing, err := raft.HasExistingState(s.bolt, s.bolt, snapshots)
+	existing, err := raft.HasExistingState(s.bolt, s.bolt, s.snapshots)
 	if err != nil {
 		return fmt.Errorf("store: check for existing state: %w", err)
 	}
 	if !existing && !s.config.Join {
-		err := raft.BootstrapCluster(rc, s.bolt, s.bolt, snapshots, transport, s.config.bootstrapConfiguration())
+		err := raft.BootstrapCluster(rc, s.bolt, s.bolt, s.snapshots, s.transport, s.config.bootstrapConfiguration())
 		if err != nil {
 			return fmt.Errorf("store: bootstrap: %w", err)
 		}
+		s.caughtUp.Store(true)
 	}
-	s.raft, err = raft.NewRaft(rc, s.fsm, s.bolt, s.bolt, snapshots, transport)
+	s.raft, err = raft.NewRaft(rc, s.fsm, s.bolt, s.bolt, s.snapshots, s.transport)
 	if err != nil {
 		return fmt.Errorf("store: start raft: %w", err)
 	}
@@ -128,6 +156,8 @@
 // Close stops the instance and waits for its goroutines. Its state stays on disk.
 func (s *Store) Close() error {
 	s.reporter.stop()
+	s.stopCatchUp()
+	s.catchUpEnded.Wait()
 	err := s.raft.Shutdown().Error()
 	if closeErr := s.bolt.Close(); err == nil {
 		err = closeErr
--- a/internal/store/stored_content_test.go
+++ b/internal/store/stored_content_test.go
@@ -167,8 +167,7 @@
 // requireRestored restores a snapshot, takes a new one of that state and requires the same bytes.
 func requireRestored(t *testing.T, data []byte) {
 	t.Helper()
-	f := &fsm{}
-	f.current.Store(config.NewState(&searchconfig.Config{}))
+	f := newFSM(&searchconfig.Config{})
 	if err := f.Restore(io.NopCloser(bytes.NewReader(data))); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/store/stored_truncated_test.go
+++ b/internal/store/stored_truncated_test.go
@@ -164,10 +164,7 @@
 	}
 	defer bolt.Close()
 	l := lastCommand(t, bolt)
-	f := &fsm{}
-	f.current.Store(config.NewState(&searchconfig.Config{Search: searchconfig.Defaults{
-		MaxResultWindow: storedWindow,
-	}}))
+	f := newFSM(&searchconfig.Config{Search: searchconfig.Defaults{MaxResultWindow: storedWindow}})
 	for i := uint64(1); i < l.Index; i++ {
 		var e raft.Log
 		if err := bolt.GetLog(i, &e); err != nil {
