store: a change takes 6 s at most, the wait for the changes before it included

Seen by reading: the calls of the fronts have no deadline, and a proposal waited for the proposal lock without a bound while each one before it may take 3 s for a quorum; with the barrier of the last commits up to 9 s.

Change: Propose and the changes of settings have a deadline of their own, which covers the lock, the barrier, the first settings and the quorum. A change that did not start says so, one that did says that its outcome is unknown. The front counts the 503s of its settings calls (store_unavailable).

--- a/internal/daemon/search_front.go
+++ b/internal/daemon/search_front.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		settingsHandler = opensearch.StoreSettingsHandler(searchSettings{s})
+		settingsHandler = opensearch.StoreSettingsHandler(searchSettings{s}, f.counters)
 	}
 	ln, err := net.Listen("tcp", f.cfg.Search.Listen)
 	if err != nil {
--- a/internal/opensearch/reroute.go
+++ b/internal/opensearch/reroute.go
@@ -172,5 +172,5 @@
 	if errors.Is(err, store.ErrConflict) {
 		return errorResponse(&apiError{Type: errTypeVersionConflict, Reason: err.Error(), Status: 409})
 	}
-	return storeErrorResponse(err, reroutePath)
+	return storeErrorResponse(err, reroutePath, f.Counters)
 }
--- a/internal/opensearch/settings.go
+++ b/internal/opensearch/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"linkpass/internal/http1"
+	"linkpass/internal/metrics"
 	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
@@ -24,7 +25,7 @@
 
 // StoreSettingsHandler returns a handler that serves /_cluster/settings from the store: GET reads the settings
 // (with local=true those that this instance has), PUT changes them by a merge patch.
-func StoreSettingsHandler(s ReplicatedSettings) http1.Handler {
+func StoreSettingsHandler(s ReplicatedSettings, counters *metrics.Counters) http1.Handler {
 	return http1.HandlerFunc(func(_ context.Context, _ time.Duration, req *http1.Request) *http1.Response {
 		params, err := url.ParseQuery(req.Query)
 		if err != nil {
@@ -32,34 +33,34 @@
 		}
 		switch req.Method {
 		case "GET":
-			return readSettings(s, params)
+			return readSettings(s, params, counters)
 		case "PUT":
-			return patchSettings(s, req.Body)
+			return patchSettings(s, req.Body, counters)
 		}
 		return errorResponse(methodNotAllowed(req, "GET, PUT"))
 	})
 }
 
-func readSettings(s ReplicatedSettings, params url.Values) *http1.Response {
+func readSettings(s ReplicatedSettings, params url.Values, counters *metrics.Counters) *http1.Response {
 	options, err := store.ParseReadOptions(params)
 	if err != nil {
 		return errorResponse(illegalArgument("%v", err))
 	}
 	c, err := s.ReadWith(options)
 	if err != nil {
-		return storeErrorResponse(err, settingsPath)
+		return storeErrorResponse(err, settingsPath, counters)
 	}
 	return settingsResponse(c, false)
 }
 
-func patchSettings(s ReplicatedSettings, body []byte) *http1.Response {
+func patchSettings(s ReplicatedSettings, body []byte, counters *metrics.Counters) *http1.Response {
 	patch, invalid := decodePatch(body)
 	if invalid != nil {
 		return errorResponse(invalid)
 	}
 	c, err := s.PatchSettings(patch)
 	if err != nil {
-		return storeErrorResponse(err, settingsPath)
+		return storeErrorResponse(err, settingsPath, counters)
 	}
 	return settingsResponse(c, true)
 }
--- a/internal/opensearch/settings_golden_test.go
+++ b/internal/opensearch/settings_golden_test.go
@@ -8,6 +8,7 @@
 
 	"linkpass/internal/goldentest"
 	"linkpass/internal/http1"
+	"linkpass/internal/metrics"
 	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
@@ -31,7 +32,7 @@
 		t.Run(c.file, func(t *testing.T) {
 			r := &fakeSettingsStore{err: c.err}
 			f := newFront(&fakeCore{})
-			f.Settings = StoreSettingsHandler(r)
+			f.Settings = StoreSettingsHandler(r, metrics.NewCounters())
 			res, _ := serve(f, c.method, c.target, c.body)
 			goldentest.Bytes(t, c.file, responseBytes(t, res))
 			if c.file == "store_settings_put.http" && r.patch != `{"search.max_result_window":100}` {
@@ -54,7 +55,7 @@
 		{store.ErrRateLimited, 429, "circuit_breaking_exception"},
 	} {
 		t.Run(c.errType, func(t *testing.T) {
-			handler := StoreSettingsHandler(&fakeSettingsStore{err: c.err})
+			handler := StoreSettingsHandler(&fakeSettingsStore{err: c.err}, metrics.NewCounters())
 			req := &http1.Request{Method: "GET", Path: "/_cluster/settings"}
 			res := handler.Serve(context.Background(), 0, req)
 			quoted, err := json.Marshal(c.err.Error())
--- a/internal/opensearch/settings_test.go
+++ b/internal/opensearch/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"linkpass/internal/metrics"
 	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
@@ -11,7 +12,7 @@
 func TestStoreSettingsHandlerMapsErrors(t *testing.T) {
 	r := &fakeSettingsStore{}
 	f := newFront(&fakeCore{})
-	f.Settings = StoreSettingsHandler(r)
+	f.Settings = StoreSettingsHandler(r, metrics.NewCounters())
 	const body = `{"persistent":{"indices.players.class":"league-table"},"transient":{}}`
 	if res, out := serve(f, "PUT", "/_cluster/settings", body); res.Status != 200 || out["acknowledged"] != true ||
 		r.patch != `{"indices.players.class":"league-table"}` {
--- a/internal/opensearch/store_error.go
+++ b/internal/opensearch/store_error.go
@@ -1,17 +1,19 @@
 package opensearch
 
 import (
+	"context"
 	"errors"
 
 	"linkpass/internal/eventlog"
 	"linkpass/internal/http1"
+	"linkpass/internal/metrics"
 	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
 
 // storeErrorResponse returns the response to a request for path that failed in the store. A follower redirects to the
-// leader.
-func storeErrorResponse(err error, path string) *http1.Response {
+// leader. A failure of the store itself is counted.
+func storeErrorResponse(err error, path string, counters *metrics.Counters) *http1.Response {
 	reason := err.Error()
 	var notLeader *store.NotLeaderError
 	switch {
@@ -27,9 +29,10 @@
 		return errorResponse(&apiError{Type: errTypeCircuitBreaking, Reason: reason, Status: 429})
 	}
 	e := &apiError{Type: errTypeNoLeader, Reason: reason, Status: 503}
-	if errors.Is(err, store.ErrNoQuorum) {
+	if errors.Is(err, store.ErrNoQuorum) || errors.Is(err, context.DeadlineExceeded) {
 		e.Type = errTypeNoQuorum
 	}
+	counters.Add("store_unavailable", 1)
 	eventlog.StoreFailed.Log(err)
 	return errorResponse(e)
 }
--- a/internal/store/limits.go
+++ b/internal/store/limits.go
@@ -18,6 +18,10 @@
 	changeRate  = 100 // changes per second
 	changeBurst = 200 // changes
 
+	// changeTimeout bounds a change with all that it waits for: the changes before it, the log of earlier terms, the first
+	// settings and a quorum.
+	changeTimeout = 2 * quorumTimeout
+
 	// snapshotInterval is the time between two checks of whether the log is long enough for a snapshot.
 	snapshotInterval = 30 * time.Second
 	// defaultTrailingLogs is the number of entries kept for followers that are behind. A follower that is further
--- a/internal/store/limits_test.go
+++ b/internal/store/limits_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"linkpass/internal/config"
 	"linkpass/internal/config/restriction"
@@ -65,3 +67,21 @@
 	origin := restriction.Origin{Instance: "n0", Incarnation: 1}
 	return restriction.Request{ID: restriction.ID{Origin: origin, Seq: seq}, Server: server, Level: level}
 }
+
+// A change that waits for the one before it gives up in time, and says that it was not started.
+func TestChangeWaitsNoLongerThanItsTimeout(t *testing.T) {
+	m := newSingleMember(t)
+	awaitLeader(t, m.store)
+	m.store.changeTimeout = 50 * time.Millisecond
+	m.store.proposalLock <- struct{}{} // a change that does not end
+	defer m.store.unlockProposals()
+	request := restrictionRequest(1, "s-1", restriction.Draining)
+	drain := config.Command{Kind: config.RestrictServer, Restriction: &request}
+	if _, err := m.store.Propose(t.Context(), drain); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("Propose: error = %v, want context.DeadlineExceeded", err)
+	}
+	_, err := m.store.PatchSettings(t.Context(), []byte(windowPatch(7)))
+	if !errors.Is(err, context.DeadlineExceeded) || errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("PatchSettings: error = %v, want context.DeadlineExceeded and a known outcome", err)
+	}
+}
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -15,7 +15,8 @@
 
 // Propose replicates a command and returns its result after a quorum has committed it. Only the leader accepts
 // proposals. It returns ErrTooLarge or ErrRateLimited if the command exceeds a limit; restrictions are exempt from the
-// rate limit. It returns ErrOutcomeUnknown if the context ends while the quorum is awaited. A command that the state
+// rate limit. It takes changeTimeout at most, and returns ErrOutcomeUnknown if that time or the context ends while the
+// quorum is awaited. A command that the state
 // rejects is not an error: the result has the reason.
 func (s *Store) Propose(ctx context.Context, c config.Command) (config.Result, error) {
 	operation := "propose " + describeCommand(c)
@@ -24,6 +25,8 @@
 			return config.Result{}, err
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.changeTimeout)
+	defer cancel()
 	if err := s.lockProposals(ctx, operation); err != nil {
 		return config.Result{}, err
 	}
--- a/internal/store/settings.go
+++ b/internal/store/settings.go
@@ -63,10 +63,12 @@
 
 // changeSettings replicates the command that buildCommand returns for the current settings, which a quorum has
 // confirmed, and returns the settings after that command. If buildCommand returns no command, the settings are not
-// changed.
+// changed. It takes changeTimeout at most.
 func (s *Store) changeSettings(
 	ctx context.Context, operation string, buildCommand func(current *searchconfig.Config) (*config.Command, error),
 ) (*searchconfig.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.changeTimeout)
+	defer cancel()
 	if err := s.lockProposals(ctx, operation); err != nil {
 		return nil, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
@@ -34,6 +35,7 @@
 	fsm           *fsm
 	reporter      *positionReporter
 	changeLimiter *rate.Limiter // limits the changes that clients make
+	changeTimeout time.Duration // changeTimeout, shorter in tests
 
 	// barrierTerm is the last term in which awaitEarlierTerms completed a barrier: all entries committed in earlier
 	// terms are applied here. It is 0 before the first barrier.
@@ -71,6 +73,7 @@
 		fsm:           newFSM(c.initialSettings()),
 		reporter:      newPositionReporter(c.ID, c.ReportPosition),
 		changeLimiter: newChangeLimiter(),
+		changeTimeout: changeTimeout,
 		proposalLock:  make(chan struct{}, 1),
 	}
 	s.fsm.onSettingsChanged = c.OnSettingsChanged
