resharding: assignments carry an order, and servers refuse older ones

Cause: a server cannot tell that an assignment is old. An empty one, and one that leaves an index out, carries no version at all, and the coordinator polls while it only believes that it leads.

Change: each request carries the leader's term and the settings' revision. A server keeps the newest that it accepted and answers 412 to an older one, which is counted and logged once. A round of polls begins with a leader that a quorum has confirmed and whose log is applied. store recover and the first start of a store raise Raft's term by the clock, so that the order does not go back.

--- a/internal/daemon/replicated_store.go
+++ b/internal/daemon/replicated_store.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync/atomic"
 
-	"linkpass/internal/searchconfig"
 	"linkpass/internal/shardmap"
 	"linkpass/internal/store"
 )
@@ -25,14 +24,13 @@
 	return nil
 }
 
-// LeaderSettings returns the settings if this instance leads the store and has applied all that earlier leaders have
-// committed; otherwise an error.
-func (s *replicatedStore) LeaderSettings(ctx context.Context) (*searchconfig.Config, error) {
+// ConfirmLeader returns the term and the state of this instance after a quorum has confirmed that it leads the store.
+func (s *replicatedStore) ConfirmLeader(ctx context.Context) (store.LeaderState, error) {
 	opened := s.get()
 	if opened == nil {
-		return nil, store.ErrNoLeader
+		return store.LeaderState{}, store.ErrNoLeader
 	}
-	return opened.ReadWith(ctx, store.ReadOptions{Consistency: store.Lease})
+	return opened.ConfirmLeader(ctx)
 }
 
 // AdvanceShardMap proposes a step of a shard map. The store must be open; it is, because only a leader calls this.
--- a/internal/emulator/assignment.go
+++ b/internal/emulator/assignment.go
@@ -11,20 +11,40 @@
 )
 
 // serveAssignment applies the assignments of all indices and answers with the status of their shards. The server
-// drops the shards of an index without an assignment. A malformed request gets status 400.
+// drops the shards of an index without an assignment. A malformed request gets status 400; one whose order is older than
+// the newest accepted one changes nothing and gets reshardexec.StatusStaleOrder.
 func (s *Server) serveAssignment(w http.ResponseWriter, r *http.Request) {
 	request, err := decodeAssignmentRequest(r.Body)
 	if err != nil {
 		http.Error(w, malformedAssignmentText, http.StatusBadRequest)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(s.applyAssignments(request.Assignments))
+	response, accepted := s.applyRequest(request)
+	if accepted.Compare(request.Order) > 0 {
+		s.StaleOrders.Add(1)
+		w.WriteHeader(reshardexec.StatusStaleOrder)
+		_ = json.NewEncoder(w).Encode(reshardexec.AssignmentRefusal{Accepted: accepted})
+		return
+	}
+	_ = json.NewEncoder(w).Encode(response)
 }
 
-func (s *Server) applyAssignments(assignments []resharding.Assignment) reshardexec.AssignmentResponse {
-	response := reshardexec.AssignmentResponse{Indices: map[string]reshardexec.IndexStatus{}}
+// applyRequest applies a request unless its order is older than the newest accepted one, which it returns.
+func (s *Server) applyRequest(
+	request reshardexec.AssignmentRequest,
+) (response reshardexec.AssignmentResponse, accepted reshardexec.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.acceptedOrder.Compare(request.Order) > 0 {
+		return response, s.acceptedOrder
+	}
+	s.acceptedOrder = request.Order
+	return s.applyAssignments(request.Assignments), s.acceptedOrder
+}
+
+// applyAssignments applies the assignments of all indices. The caller holds the mutex.
+func (s *Server) applyAssignments(assignments []resharding.Assignment) reshardexec.AssignmentResponse {
+	response := reshardexec.AssignmentResponse{Indices: map[string]reshardexec.IndexStatus{}}
 	for _, assignment := range assignments {
 		response.Indices[assignment.Index] = s.applyAssignment(assignment)
 	}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"linkpass/internal/reshardexec"
 	"linkpass/internal/shardmap"
 )
 
@@ -42,9 +43,11 @@
 	cores     chan struct{}            // an element for each busy core
 	startedAt time.Time                // time of the latest restart; zero if never restarted
 	indices   map[string]*indexReplica // by name of the index
-	faults    faults
-	drainedAt time.Time // start of the drain; zero while the server is in service
-	warmup    warmupLoad
+	// acceptedOrder is the newest order of assignments that was accepted. It is kept as long as the shards are.
+	acceptedOrder reshardexec.Order
+	faults        faults
+	drainedAt     time.Time // start of the drain; zero while the server is in service
+	warmup        warmupLoad
 
 	queued, active atomic.Int64 // parts waiting for a core, and parts being processed
 	averageWorkNS  atomic.Int64 // moving average of a part's work, in nanoseconds
@@ -52,6 +55,7 @@
 	Parts                  atomic.Int64 // parts received
 	LateParts              atomic.Int64 // parts received more than a second, plus drainTolerance, after a drain began
 	MovedParts             atomic.Int64 // parts answered with status 409 because the shard has moved
+	StaleOrders            atomic.Int64 // assignments refused because their order was older than an accepted one
 	OverloadedWhileWarming atomic.Int64 // parts started during warm-up while too much work was pending
 }
 
@@ -108,6 +112,7 @@
 	}
 	if forget {
 		s.indices = map[string]*indexReplica{}
+		s.acceptedOrder = reshardexec.Order{}
 	}
 }
 
--- a/internal/eventlog/events_resharding.go
+++ b/internal/eventlog/events_resharding.go
@@ -22,6 +22,13 @@
 		Meaning: "a league server did not accept its shard assignments; plans treat it as unhealthy",
 		Action:  "check that server; searches continue",
 	})
+	AssignmentRefused = register(Event{
+		Component: "reshape", Name: "assignment_refused", Level: hclog.Error,
+		Fields: []string{"server", "accepted_term", "accepted_revision"},
+		Meaning: "a league server has accepted assignments of a later leader or of later shard maps than this instance's, and " +
+			"refused these; logged once until it accepts some",
+		Action: "nothing after a change of leader; if it stays, the server follows another store than this one: find out which",
+	})
 	ReshardingStep = register(Event{
 		Component: "reshape", Name: "resharding_step", FormerName: "reshape_step", Level: hclog.Info,
 		Fields:       []string{"index", "plan", "step", "reason"},
--- a/internal/reshardexec/executor.go
+++ b/internal/reshardexec/executor.go
@@ -26,10 +26,10 @@
 
 // Store is the part of the replicated store that the executor uses.
 type Store interface {
-	// LeaderSettings returns the settings, which have the shard maps, if this instance leads the store and has applied
-	// all that earlier leaders have committed. Otherwise it returns an error: assignments from older settings would make
-	// servers drop their shards.
-	LeaderSettings(ctx context.Context) (*searchconfig.Config, error)
+	// ConfirmLeader returns the state, which has the shard maps, and the term after a quorum has confirmed that this
+	// instance leads the store. Otherwise it returns an error: assignments from older shard maps would make servers drop
+	// their shards.
+	ConfirmLeader(ctx context.Context) (store.LeaderState, error)
 	// AdvanceShardMap applies a command to the shard map of an index.
 	AdvanceShardMap(ctx context.Context, index string, c shardmap.Command) error
 }
@@ -148,7 +148,7 @@
 			limits = newLimits
 			e.controller = nil // the next one continues from the shard maps, as after a change of leader
 		}
-		settings, err := e.cfg.Store.LeaderSettings(ctx)
+		leader, err := e.cfg.Store.ConfirmLeader(ctx)
 		if err != nil {
 			e.stepDown()
 			continue
@@ -158,7 +158,7 @@
 			e.controller = resharding.New(limits)
 			e.poller.resetReports()
 		}
-		e.runRound(ctx, currentShardMaps(settings))
+		e.runRound(ctx, leader)
 	}
 }
 
@@ -169,12 +169,15 @@
 }
 
 // runRound polls every server once, then executes the actions that the controller decides on.
-func (e *Executor) runRound(ctx context.Context, shardMaps map[string]*shardmap.Map) {
+func (e *Executor) runRound(ctx context.Context, leader store.LeaderState) {
+	settings := leader.State.Settings()
+	shardMaps := currentShardMaps(settings)
 	if len(shardMaps) == 0 {
 		return
 	}
 	endpoints := e.currentEndpoints()
-	e.poller.pollAll(ctx, endpoints, assignmentsByServer(shardMaps))
+	order := Order{Term: leader.Term, Revision: settings.Revision}
+	e.poller.pollAll(ctx, endpoints, order, assignmentsByServer(shardMaps))
 	for _, action := range e.controller.NextActions(e.controllerInput(shardMaps, endpoints)) {
 		if ctx.Err() != nil {
 			return
--- a/internal/reshardexec/server_conn.go
+++ b/internal/reshardexec/server_conn.go
@@ -51,6 +51,13 @@
 	if err != nil {
 		return response, err
 	}
+	if res.Status == StatusStaleOrder {
+		var refusal AssignmentRefusal
+		if err := json.Unmarshal(res.Body, &refusal); err != nil {
+			return response, err
+		}
+		return response, &StaleOrderError{Accepted: refusal.Accepted}
+	}
 	if res.Status != 200 {
 		return response, fmt.Errorf("unexpected status %d", res.Status)
 	}
--- a/internal/reshardexec/server_poller.go
+++ b/internal/reshardexec/server_poller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -25,6 +26,7 @@
 	conns   map[string]*serverConn
 	reports map[string]map[string]resharding.Report // by server and index
 	failing map[string]bool                         // servers whose latest poll failed
+	refused map[string]bool                         // servers that refused the order, until they accept one
 }
 
 // pollResult is the result of one poll. conn is the connection to reuse, nil if there is none.
@@ -39,6 +41,7 @@
 func (p *serverPoller) resetReports() {
 	p.reports = map[string]map[string]resharding.Report{}
 	p.failing = map[string]bool{}
+	p.refused = map[string]bool{}
 }
 
 // closeConns closes all connections.
@@ -51,7 +54,7 @@
 
 // pollAll polls every listed server once and returns when all polls have ended. A server without assignments is polled
 // too: the empty request tells it that it may drop its shards.
-func (p *serverPoller) pollAll(ctx context.Context, endpoints map[string]coordinator.Endpoint,
+func (p *serverPoller) pollAll(ctx context.Context, endpoints map[string]coordinator.Endpoint, order Order,
 	assignments map[string][]resharding.Assignment) {
 	p.removeUnlisted(endpoints)
 	results := make(chan pollResult, len(endpoints))
@@ -62,7 +65,7 @@
 			conn.close()
 			conn = nil
 		}
-		request := AssignmentRequest{Assignments: assignments[name]}
+		request := AssignmentRequest{Assignments: assignments[name], Order: order}
 		go func() { // ends within the timeout of a poll, once it has a slot; its result is received below
 			slots <- struct{}{}
 			defer func() { <-slots }()
@@ -85,6 +88,7 @@
 		delete(p.conns, name)
 		delete(p.reports, name)
 		delete(p.failing, name)
+		delete(p.refused, name)
 	}
 }
 
@@ -119,9 +123,10 @@
 	if result.err != nil {
 		p.failing[result.server] = true
 		p.counters.Add("resharding_calls_failed", 1)
-		p.failures.Log(eventlog.AssignmentFailed, result.server, result.err)
+		p.logFailure(result)
 		return
 	}
+	delete(p.refused, result.server)
 	delete(p.failing, result.server)
 	reports := map[string]resharding.Report{}
 	for index, status := range result.response.Indices {
@@ -129,3 +134,17 @@
 	}
 	p.reports[result.server] = reports
 }
+
+// logFailure logs a failed poll. A refusal of the order is counted, and logged once until the server accepts an order.
+func (p *serverPoller) logFailure(result pollResult) {
+	var stale *StaleOrderError
+	if !errors.As(result.err, &stale) {
+		p.failures.Log(eventlog.AssignmentFailed, result.server, result.err)
+		return
+	}
+	p.counters.Add("resharding_orders_refused", 1)
+	if !p.refused[result.server] {
+		p.refused[result.server] = true
+		eventlog.AssignmentRefused.Log(result.server, stale.Accepted.Term, stale.Accepted.Revision)
+	}
+}
--- a/internal/reshardexec/wire_golden_test.go
+++ b/internal/reshardexec/wire_golden_test.go
@@ -15,7 +15,8 @@
 )
 
 var (
-	goldenRequest = AssignmentRequest{Assignments: []resharding.Assignment{{
+	goldenOrder   = Order{Term: 456789012345678, Revision: 12}
+	goldenRequest = AssignmentRequest{Order: goldenOrder, Assignments: []resharding.Assignment{{
 		Index:   "players",
 		Version: 3,
 		Tasks: []resharding.Task{{
@@ -40,6 +41,15 @@
 func TestAssignmentBodiesGolden(t *testing.T) {
 	t.Run("request", func(t *testing.T) { goldentest.JSON(t, "call.json", goldenRequest) })
 	t.Run("response", func(t *testing.T) { goldentest.JSON(t, "reply.json", goldenResponse) })
+	// The form of earlier versions, which servers still get from them.
+	t.Run("request without an order", func(t *testing.T) {
+		request := goldenRequest
+		request.Order = Order{}
+		goldentest.Encodes(t, "call_unordered.json", request)
+	})
+	t.Run("refusal", func(t *testing.T) {
+		goldentest.JSON(t, "refusal.json", AssignmentRefusal{Accepted: goldenOrder})
+	})
 	t.Run("request without assignments", func(t *testing.T) {
 		goldentest.Encodes(t, "call_empty.json", AssignmentRequest{})
 	})
--- a/internal/store/catch_up.go
+++ b/internal/store/catch_up.go
@@ -102,21 +102,13 @@
 	return err == nil && version == s.State().Version()
 }
 
-// ConfirmedVersion returns the version of the state after a quorum has confirmed that this instance is the leader. All
-// entries that were committed before the call are in that state. It writes nothing to the log but one barrier a term.
+// ConfirmedVersion returns the version of the state of ConfirmLeader.
 func (s *Store) ConfirmedVersion(ctx context.Context) (uint64, error) {
-	const operation = "confirm version"
-	if err := s.awaitEarlierTerms(ctx, operation); err != nil {
+	leader, err := s.ConfirmLeader(ctx)
+	if err != nil {
 		return 0, err
 	}
-	commit := s.raft.CommitIndex()
-	if err := s.verifyLeader(ctx, operation); err != nil {
-		return 0, err
-	}
-	if !s.hasApplied(commit) {
-		return 0, fmt.Errorf("store: %s: %w", operation, ErrStale)
-	}
-	return s.State().Version(), nil
+	return leader.State.Version(), nil
 }
 
 // termAt returns the term of the entry at an index; 0 if the entry is neither in the log nor the last of a snapshot.
--- a/internal/store/recovery.go
+++ b/internal/store/recovery.go
@@ -129,6 +129,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("store: recover cluster: %w", err)
 	}
+	if err := raiseTerm(r.stable, time.Now()); err != nil {
+		return nil, err
+	}
 	if err := recovered.haltedErr(); err != nil {
 		return nil, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -147,6 +147,9 @@
 		if err != nil {
 			return fmt.Errorf("store: bootstrap: %w", err)
 		}
+		if err := raiseTerm(s.bolt, time.Now()); err != nil {
+			return err
+		}
 		s.caughtUp.Store(true)
 	}
 	s.raft, err = raft.NewRaft(rc, s.fsm, s.bolt, s.bolt, s.snapshots, s.transport)
