resharding: a poll is sent only under a lease that a quorum has confirmed

A round of polls may take seconds where servers hang: the leader was confirmed at its beginning only, and a later poll could be that of a replaced leader.

Change: the lease ends LeaderLeaseTimeout after the quorum was asked, which is shorter than the time after which another instance may be elected. Each poll checks it last, after the dial; an ended one is renewed by the quorum in the same term, or the poll is withheld and counted (resharding_polls_withheld), without marking the server.

A process that stops between the check and the write is left to the order that servers compare.

--- a/internal/reshardexec/executor.go
+++ b/internal/reshardexec/executor.go
@@ -177,7 +177,7 @@
 	}
 	endpoints := e.currentEndpoints()
 	order := Order{Term: leader.Term, Revision: settings.Revision}
-	e.poller.pollAll(ctx, endpoints, order, assignmentsByServer(shardMaps))
+	e.poller.pollAll(ctx, endpoints, newLease(leader, e.cfg.Store.ConfirmLeader), order, assignmentsByServer(shardMaps))
 	for _, action := range e.controller.NextActions(e.controllerInput(shardMaps, endpoints)) {
 		if ctx.Err() != nil {
 			return
--- a/internal/reshardexec/order_test.go
+++ b/internal/reshardexec/order_test.go
@@ -15,6 +15,7 @@
 	"linkpass/internal/http1"
 	"linkpass/internal/metrics"
 	"linkpass/internal/shardmap/resharding"
+	"linkpass/internal/store"
 )
 
 func TestOrderComparesTermFirst(t *testing.T) {
@@ -28,6 +29,11 @@
 	}
 }
 
+// heldLease returns a lease that does not end during a test.
+func heldLease() *lease {
+	return newLease(store.LeaderState{LeaseEnd: time.Now().Add(time.Hour)}, nil)
+}
+
 // A refusal of the order is counted each time, logged once with the accepted order, and makes the server unhealthy.
 func TestRefusedOrderIsCountedAndLoggedOnce(t *testing.T) {
 	var log bytes.Buffer
@@ -54,7 +60,7 @@
 	endpoints := map[string]coordinator.Endpoint{"s-1": {Name: "s-1", Addr: ln.Addr().String()}}
 	const polls = 3
 	for range polls {
-		e.poller.pollAll(t.Context(), endpoints, Order{Term: 1}, map[string][]resharding.Assignment{})
+		e.poller.pollAll(t.Context(), endpoints, heldLease(), Order{Term: 1}, map[string][]resharding.Assignment{})
 	}
 	if got := counters.Get("resharding_orders_refused"); got != polls || !e.poller.failing["s-1"] {
 		t.Errorf("resharding_orders_refused = %d, failing = %t; want %d, true", got, e.poller.failing["s-1"], polls)
@@ -63,7 +69,7 @@
 		t.Errorf("the refusal was logged %d times, want once: %s", got, log.String())
 	}
 	var stale *StaleOrderError
-	_, _, err = e.poller.poll(t.Context(), nil, ln.Addr().String(), AssignmentRequest{})
+	_, _, err = e.poller.poll(t.Context(), heldLease(), nil, ln.Addr().String(), AssignmentRequest{})
 	if !errors.As(err, &stale) || stale.Accepted != goldenOrder {
 		t.Errorf("error = %v, want a StaleOrderError with %+v", err, goldenOrder)
 	}
--- a/internal/reshardexec/server_poller.go
+++ b/internal/reshardexec/server_poller.go
@@ -54,7 +54,7 @@
 
 // pollAll polls every listed server once and returns when all polls have ended. A server without assignments is polled
 // too: the empty request tells it that it may drop its shards.
-func (p *serverPoller) pollAll(ctx context.Context, endpoints map[string]coordinator.Endpoint, order Order,
+func (p *serverPoller) pollAll(ctx context.Context, endpoints map[string]coordinator.Endpoint, lease *lease, order Order,
 	assignments map[string][]resharding.Assignment) {
 	p.removeUnlisted(endpoints)
 	results := make(chan pollResult, len(endpoints))
@@ -69,7 +69,7 @@
 		go func() { // ends within the timeout of a poll, once it has a slot; its result is received below
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			conn, response, err := p.poll(ctx, conn, endpoint.Addr, request)
+			conn, response, err := p.poll(ctx, lease, conn, endpoint.Addr, request)
 			results <- pollResult{name, conn, response, err}
 		}()
 	}
@@ -92,8 +92,9 @@
 	}
 }
 
-// poll makes one poll on a server's connection, or on a new one if conn is nil. It returns the connection to reuse.
-func (p *serverPoller) poll(ctx context.Context, conn *serverConn, addr string, request AssignmentRequest) (
+// poll makes one poll on a server's connection, or on a new one if conn is nil. It returns the connection to reuse. The
+// lease is checked last, so that only the request itself comes after it.
+func (p *serverPoller) poll(ctx context.Context, lease *lease, conn *serverConn, addr string, request AssignmentRequest) (
 	*serverConn, AssignmentResponse, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -104,6 +105,9 @@
 			return nil, AssignmentResponse{}, err
 		}
 	}
+	if err := lease.check(ctx); err != nil {
+		return conn, AssignmentResponse{}, err
+	}
 	response, err := conn.exchange(body, p.timeout)
 	if err != nil {
 		conn.close()
@@ -120,6 +124,10 @@
 	} else {
 		p.conns[result.server] = result.conn
 	}
+	if errors.Is(result.err, errLeadershipLost) {
+		p.counters.Add("resharding_polls_withheld", 1)
+		return
+	}
 	if result.err != nil {
 		p.failing[result.server] = true
 		p.counters.Add("resharding_calls_failed", 1)
--- a/internal/reshardexec/wire_golden_test.go
+++ b/internal/reshardexec/wire_golden_test.go
@@ -79,7 +79,7 @@
 		_ = http1.WriteResponse(netConn, &http1.Response{Status: 200, Body: responseBody})
 	}()
 	e := New(Config{Timeout: 10 * time.Second})
-	conn, response, err := e.poller.poll(context.Background(), nil, ln.Addr().String(), goldenRequest)
+	conn, response, err := e.poller.poll(context.Background(), heldLease(), nil, ln.Addr().String(), goldenRequest)
 	if err != nil || !reflect.DeepEqual(response, goldenResponse) {
 		t.Errorf("poll = %+v, error %v; want %+v", response, err, goldenResponse)
 	}
--- a/internal/store/leader_state.go
+++ b/internal/store/leader_state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"linkpass/internal/config"
 )
@@ -11,6 +12,9 @@
 type LeaderState struct {
 	Term  uint64 // in which this instance leads
 	State *config.State
+	// LeaseEnd is the time before which no other instance leads, as long as the members' clocks do not drift apart by
+	// more than the lease while it lasts: the members that confirmed this leader elect no other one so soon.
+	LeaseEnd time.Time
 }
 
 // ConfirmLeader returns the state of this instance after a quorum has confirmed that it is the leader. All entries that
@@ -26,6 +30,7 @@
 		return LeaderState{}, err
 	}
 	committed := s.raft.CommitIndex()
+	askedAt := time.Now()
 	if err := s.verifyLeader(ctx, operation); err != nil {
 		return LeaderState{}, err
 	}
@@ -36,5 +41,5 @@
 	if s.raft.CurrentTerm() != term {
 		return LeaderState{}, fmt.Errorf("store: %s: %w", operation, ErrNoLeader)
 	}
-	return LeaderState{Term: term, State: state}, nil
+	return LeaderState{Term: term, State: state, LeaseEnd: askedAt.Add(s.leaderLease)}, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,6 +41,9 @@
 	// terms are applied here. It is 0 before the first barrier.
 	barrierTerm atomic.Uint64
 
+	// leaderLease is Raft's LeaderLeaseTimeout, which is at most the time after which a follower that does not hear from
+	// the leader starts an election.
+	leaderLease time.Duration
 	// caughtUp is set once this instance has applied all entries that were committed before its start. It is never
 	// reset: an instance that loses contact with the leader later keeps the state last known.
 	caughtUp atomic.Bool
@@ -138,6 +141,7 @@
 // nothing was committed before then, as far as this instance can know.
 func (s *Store) startNode(logger hclog.Logger) error {
 	rc := s.config.raftConfig(logger)
+	s.leaderLease = rc.LeaderLeaseTimeout
 	existing, err := raft.HasExistingState(s.bolt, s.bolt, s.snapshots)
 	if err != nil {
 		return fmt.Errorf("store: check for existing state: %w", err)
