endpointmerge: an added server that discovery tells gone stays out of service

Cause: merge falls back on Override.Added whenever discovery does not list the server.

Change: the merger remembers that discovery told an added server gone, until it lists it again or a command changes its endpoint. The model of the random test has the same rule. It is not on disk: a restarted instance whose discovery does not list the server uses the added endpoint again.

--- a/internal/config/endpointmerge/merger.go
+++ b/internal/config/endpointmerge/merger.go
@@ -14,6 +14,9 @@
 	discovered map[string]coordinator.Endpoint
 	overrides  map[string]Override
 	merged     map[string]coordinator.Endpoint
+	// gone has the added servers that discovery has told gone since they were added. They stay out of service until
+	// discovery lists them again or a command changes their endpoint: that they were added does not tell that they run.
+	gone       map[string]bool
 	onlyCached bool // discovery has sent nothing yet, or only a cached list from before this process
 }
 
@@ -23,6 +26,7 @@
 		discovered: map[string]coordinator.Endpoint{},
 		overrides:  map[string]Override{},
 		merged:     map[string]coordinator.Endpoint{},
+		gone:       map[string]bool{},
 		onlyCached: true,
 	}
 }
@@ -46,22 +50,17 @@
 	return coordinator.EndpointUpdate{Mode: update.Mode, Endpoints: m.endpoints()}
 }
 
-// applyDelta applies changes of single endpoints. A change from an earlier start of a server's process is ignored,
-// unless it removes the server.
+// applyDelta applies changes of single endpoints.
 func (m *Merger) applyDelta(endpoints []coordinator.Endpoint) coordinator.EndpointUpdate {
 	names := make([]string, 0, len(endpoints))
 	for _, e := range endpoints {
 		names = append(names, e.Name)
-		known, ok := m.discovered[e.Name]
-		if !ok || e.State == routing.Removed || e.StartedAt >= known.StartedAt {
-			m.setDiscovered(e)
-		}
+		m.setDiscovered(m.latest(e, m.discovered))
 	}
 	return m.refresh(names)
 }
 
-// replaceDiscovered replaces the complete list from discovery. An endpoint of an earlier start of a server's process
-// does not replace the known one.
+// replaceDiscovered replaces the complete list from discovery. A server that it no longer has is gone.
 func (m *Merger) replaceDiscovered(endpoints []coordinator.Endpoint) {
 	previous := m.discovered
 	m.discovered = map[string]coordinator.Endpoint{}
@@ -69,10 +68,12 @@
 	names = slices.AppendSeq(names, maps.Keys(previous))
 	for _, e := range endpoints {
 		names = append(names, e.Name)
-		if known, ok := previous[e.Name]; ok && e.State != routing.Removed && e.StartedAt < known.StartedAt {
-			e = known
+		m.setDiscovered(m.latest(e, previous))
+	}
+	for name := range previous {
+		if _, listed := m.discovered[name]; !listed {
+			m.setGone(name)
 		}
-		m.setDiscovered(e)
 	}
 	names = slices.AppendSeq(names, maps.Keys(m.overrides))
 	m.refresh(names)
@@ -84,17 +85,39 @@
 	case e.Name == "":
 	case e.State == routing.Removed:
 		delete(m.discovered, e.Name)
+		m.setGone(e.Name)
 	default:
 		m.discovered[e.Name] = e
+		delete(m.gone, e.Name)
+	}
+}
+
+// setGone records that discovery has told a server gone, if a command has added it.
+func (m *Merger) setGone(name string) {
+	if m.overrides[name].Added != nil {
+		m.gone[name] = true
 	}
 }
 
+// latest returns the endpoint that is in effect after an update: e, or the known one if e is of an earlier start of the
+// server's process.
+func (*Merger) latest(e coordinator.Endpoint, discovered map[string]coordinator.Endpoint) coordinator.Endpoint {
+	known, ok := discovered[e.Name]
+	if !ok || e.State == routing.Removed || e.StartedAt >= known.StartedAt {
+		return e
+	}
+	return known
+}
+
 // ApplyOverrides applies overrides by server name, and returns the update of the merged list. A zero Override removes
 // the server's previous one. The returned update already includes a new restriction, whatever discovery reports.
 func (m *Merger) ApplyOverrides(overrides map[string]Override) coordinator.EndpointUpdate {
 	names := make([]string, 0, len(overrides))
 	for name, override := range overrides {
 		names = append(names, name)
+		if !sameEndpoint(override.Added, m.overrides[name].Added) {
+			delete(m.gone, name)
+		}
 		if override == (Override{}) {
 			delete(m.overrides, name)
 		} else {
@@ -128,7 +151,7 @@
 func (m *Merger) merge(name string) (coordinator.Endpoint, bool) {
 	endpoint, listed := m.discovered[name]
 	override := m.overrides[name]
-	if !listed && override.Added != nil {
+	if !listed && override.Added != nil && !m.gone[name] {
 		endpoint, listed = *override.Added, true
 	}
 	if !listed || override.Restriction == restriction.Removed {
--- a/internal/config/endpointmerge/merger_test.go
+++ b/internal/config/endpointmerge/merger_test.go
@@ -33,6 +33,7 @@
 	merger     *Merger
 	discovered map[string]coordinator.Endpoint
 	overrides  map[string]Override
+	gone       map[string]bool // added servers that discovery has told gone since
 	list       map[string]coordinator.Endpoint
 }
 
@@ -41,6 +42,7 @@
 		merger:     New(),
 		discovered: map[string]coordinator.Endpoint{},
 		overrides:  map[string]Override{},
+		gone:       map[string]bool{},
 		list:       map[string]coordinator.Endpoint{},
 	}
 }
@@ -69,11 +71,13 @@
 	} else {
 		m.discovered[e.Name] = e
 	}
+	m.gone[e.Name] = e.State == routing.Removed && m.overrides[e.Name].Added != nil
 	endpoints := []coordinator.Endpoint{e}
 	m.apply(m.merger.ApplyDiscovery(coordinator.EndpointUpdate{Mode: routing.UpdateDelta, Endpoints: endpoints}))
 }
 
 func (m *model) full(t *rapid.T) {
+	before := maps.Clone(m.discovered)
 	clear(m.discovered)
 	update := coordinator.EndpointUpdate{Mode: routing.UpdateFull}
 	for _, name := range serverNames {
@@ -82,6 +86,9 @@
 			m.discovered[name] = e
 			update.Endpoints = append(update.Endpoints, e)
 		}
+		_, listed := m.discovered[name]
+		_, wasListed := before[name]
+		m.gone[name] = !listed && m.overrides[name].Added != nil && (wasListed || m.gone[name])
 	}
 	m.apply(m.merger.ApplyDiscovery(update))
 }
@@ -100,6 +107,9 @@
 		entry := routing.Endpoint{State: routing.Ready, Weight: 1}
 		override.Added = &coordinator.Endpoint{Name: name, Addr: "added:1", Endpoint: entry}
 	}
+	if (override.Added == nil) != (m.overrides[name].Added == nil) {
+		m.gone[name] = false
+	}
 	m.overrides[name] = override
 	m.apply(m.merger.ApplyOverrides(map[string]Override{name: override}))
 }
@@ -110,7 +120,7 @@
 	for _, name := range serverNames {
 		e, listed := m.discovered[name]
 		override := m.overrides[name]
-		if !listed && override.Added == nil || override.Restriction == restriction.Removed {
+		if !listed && (override.Added == nil || m.gone[name]) || override.Restriction == restriction.Removed {
 			continue
 		}
 		if !listed {
@@ -178,3 +188,39 @@
 		t.Errorf("update after a later start = %+v, want it to contain %+v", update, next)
 	}
 }
+
+// Guards against parts to a server that is gone: an operator added it, discovery listed it later, and then told that it
+// is gone. Only discovery, or an operator's change of its endpoint, brings it back.
+func TestAddedServerThatDiscoveryTellsGoneStaysOut(t *testing.T) {
+	added := coordinator.Endpoint{Name: "a", Addr: "h:1", Endpoint: routing.Endpoint{State: routing.Ready, Weight: 1}}
+	removed := added
+	removed.State = routing.Removed
+	update := func(mode routing.UpdateMode, endpoints ...coordinator.Endpoint) coordinator.EndpointUpdate {
+		return coordinator.EndpointUpdate{Mode: mode, Endpoints: endpoints}
+	}
+	for name, gone := range map[string]coordinator.EndpointUpdate{
+		"delta":     update(routing.UpdateDelta, removed),
+		"full list": update(routing.UpdateFull),
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			m.ApplyOverrides(map[string]Override{"a": {Added: &added}})
+			if len(m.endpoints()) != 1 {
+				t.Fatal("the added server is not in service before discovery lists it")
+			}
+			m.ApplyDiscovery(update(routing.UpdateFull, added))
+			m.ApplyDiscovery(gone)
+			m.ApplyOverrides(map[string]Override{"a": {Added: &added, Weight: 2}})
+			m.ApplyDiscovery(update(routing.UpdateFull))
+			if got := m.endpoints(); len(got) != 0 {
+				t.Errorf("endpoints = %+v, want none: discovery told that the server is gone", got)
+			}
+			moved := added
+			moved.Addr = "h:2"
+			m.ApplyOverrides(map[string]Override{"a": {Added: &moved}})
+			if got := m.endpoints(); !slices.Equal(got, []coordinator.Endpoint{moved}) {
+				t.Errorf("endpoints after a change by an operator = %+v, want %+v", got, moved)
+			}
+		})
+	}
+}
--- a/internal/config/endpointmerge/override.go
+++ b/internal/config/endpointmerge/override.go
@@ -12,8 +12,8 @@
 	Restriction restriction.Level
 	// Weight replaces the weight from discovery, unless it is 0.
 	Weight float64
-	// Added is the endpoint of a server that a command added. It is used while discovery does not list the server;
-	// nil: no command added the server.
+	// Added is the endpoint of a server that a command added. It is used until discovery lists the server; nil: no
+	// command added the server.
 	Added *coordinator.Endpoint
 }
 
@@ -22,8 +22,13 @@
 	if o.Restriction != other.Restriction || o.Weight != other.Weight {
 		return false
 	}
-	if o.Added == nil || other.Added == nil {
-		return o.Added == other.Added
+	return sameEndpoint(o.Added, other.Added)
+}
+
+// sameEndpoint reports whether two endpoints are equal, or both nil.
+func sameEndpoint(a, b *coordinator.Endpoint) bool {
+	if a == nil || b == nil {
+		return a == b
 	}
-	return *o.Added == *other.Added
+	return *a == *b
 }
