endpointmerge: a drain told with a start of long ago is kept

Change: a drain whose start is 0 counts for the start that is known, which stays, so that changes of earlier starts are still skipped.

TestDrainWithUnknownStartCounts failed before, for a delta and for a full list.

--- a/internal/config/endpointmerge/merger.go
+++ b/internal/config/endpointmerge/merger.go
@@ -100,12 +100,17 @@
 }
 
 // latest returns the endpoint that is in effect after an update: e, or the known one if e is of an earlier start of the
-// server's process.
+// server's process. A start of 0 tells only that it was long ago, so a drain with it counts for the known start; anything
+// else with it does not end a state that was told of a later start.
 func (*Merger) latest(e coordinator.Endpoint, discovered map[string]coordinator.Endpoint) coordinator.Endpoint {
 	known, ok := discovered[e.Name]
 	if !ok || e.State == routing.Removed || e.StartedAt >= known.StartedAt {
 		return e
 	}
+	if e.StartedAt == 0 && e.State == routing.Draining {
+		e.StartedAt = known.StartedAt
+		return e
+	}
 	return known
 }
 
--- a/internal/config/endpointmerge/merger_test.go
+++ b/internal/config/endpointmerge/merger_test.go
@@ -224,3 +224,30 @@
 		})
 	}
 }
+
+// Guards against a drain that is skipped: discovery told a server with its start, and tells its drain with the start
+// 0, for long ago. The known start stays, so that what was told of an earlier one is still outdated.
+func TestDrainWithUnknownStartCounts(t *testing.T) {
+	ready := coordinator.Endpoint{Name: "a", Addr: "h:1", Endpoint: routing.Endpoint{State: routing.Ready, StartedAt: 20}}
+	draining := ready
+	draining.State, draining.StartedAt = routing.Draining, 0
+	want := ready
+	want.State = routing.Draining
+	for _, mode := range []routing.UpdateMode{routing.UpdateDelta, routing.UpdateFull} {
+		m := New()
+		apply := func(mode routing.UpdateMode, e coordinator.Endpoint) {
+			m.ApplyDiscovery(coordinator.EndpointUpdate{Mode: mode, Endpoints: []coordinator.Endpoint{e}})
+		}
+		apply(routing.UpdateFull, ready)
+		apply(mode, draining)
+		if got := m.endpoints(); !slices.Equal(got, []coordinator.Endpoint{want}) {
+			t.Errorf("endpoints after the drain = %+v, want %+v", got, want)
+		}
+		earlier := ready
+		earlier.StartedAt = 0
+		apply(routing.UpdateDelta, earlier)
+		if got := m.endpoints(); !slices.Equal(got, []coordinator.Endpoint{want}) {
+			t.Errorf("endpoints after an outdated change = %+v, want %+v", got, want)
+		}
+	}
+}
