endpoints: a pending drain is on disk before it is acknowledged

Cause: requests that the log has not settled were in memory only.

Change: Restrict, and the receipt of another instance's requests, return once the list of pending requests is on disk, beside the log. Attach puts them into force again.

--- a/internal/endpoints/network_test.go
+++ b/internal/endpoints/network_test.go
@@ -215,6 +215,9 @@
 	return l.n.states[l.id]
 }
 
+func (nodeLog) SavePending([]restriction.Request) error     { return nil }
+func (nodeLog) LoadPending() ([]restriction.Request, error) { return nil, nil }
+
 func (l nodeLog) IsLeader() bool { return l.id == 0 }
 
 func (l nodeLog) Propose(_ context.Context, c config.Command) (config.Result, error) {
--- a/internal/endpoints/registry.go
+++ b/internal/endpoints/registry.go
@@ -18,6 +18,7 @@
 	cfg          Config
 	broadcasters []*worker // one for each other instance
 	proposer     *worker
+	saving       chan struct{} // has an element while the pending requests are written to disk; capacity 1
 
 	mu                 sync.Mutex // guards the fields below, and orders the calls of OnUpdate
 	pending            *restriction.PendingSet
@@ -25,6 +26,8 @@
 	log                ReplicatedLog                     // nil until Attach
 	publishedOverrides map[string]endpointmerge.Override // by server: those last given to the merger, without empty ones
 	recent             recentRequests
+	pendingChanges     uint64 // number of times that requests became pending
+	savedChanges       uint64 // pendingChanges at the last save
 }
 
 // New returns a Registry without endpoints. It accepts restrictions once Attach has been called, and broadcasts and
@@ -37,6 +40,7 @@
 		merger:             endpointmerge.New(),
 		publishedOverrides: map[string]endpointmerge.Override{},
 		recent:             recentRequests{},
+		saving:             make(chan struct{}, 1),
 	}
 	for id, send := range c.Broadcast {
 		acknowledged := map[restriction.ID]bool{}
@@ -61,12 +65,23 @@
 	workers.Wait()
 }
 
-// Attach sets the replicated log, which must be open, and applies the overrides in it.
+// Attach sets the replicated log, which must be open, and applies the overrides in it and the requests that were pending
+// when this instance last ran.
 func (r *Registry) Attach(log ReplicatedLog) {
+	pending, err := log.LoadPending()
+	if err != nil {
+		eventlog.StoreFailed.Log(err)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.log = log
+	restored := r.pending.Receive(log.State(), pending...)
+	r.cfg.Counters.Add("restrictions_restored", int64(len(restored)))
+	for _, request := range restored {
+		eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "this instance's disk")
+	}
 	r.publishOverrides(log.State().RemovedIDs())
+	r.wakeWorkers()
 }
 
 // UpdateEndpoints applies an update of discovery.
@@ -89,9 +104,19 @@
 }
 
 // Restrict takes a server out of service: at this instance at once, at the others as soon as they receive the request,
-// and permanently once the log has settled it. The error is a *RejectedError if the log would reject the request in its
-// present state, and ErrStoreNotReady before Attach.
+// and permanently once the log has settled it. When it returns nil, the request is on disk. The error is a
+// *RejectedError if the log would reject the request in its present state, ErrStoreNotReady before Attach, and
+// ErrNotOnDisk if the request is in force but was not written to disk in time.
 func (r *Registry) Restrict(server string, level restriction.Level, force bool) (restriction.Request, error) {
+	request, err := r.issue(server, level, force)
+	if err != nil {
+		return request, err
+	}
+	return request, r.savePending()
+}
+
+// issue puts a restriction into force.
+func (r *Registry) issue(server string, level restriction.Level, force bool) (restriction.Request, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.log == nil {
@@ -109,6 +134,7 @@
 		return request, fmt.Errorf("endpoints: restrict %s: request %s counts as settled: "+
 			"this process's clock is behind that of an earlier one", server, request.ID)
 	}
+	r.pendingChanges++
 	r.cfg.Counters.Add("restrictions_issued", 1)
 	eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "an operator")
 	r.recent.add(request)
@@ -135,13 +161,22 @@
 	return nil
 }
 
-// ReceiveRestrictions adds requests that another instance, from, has broadcast. They take effect here at once. Before
-// Attach it fails with ErrStoreNotReady.
+// ReceiveRestrictions adds requests that another instance, from, has broadcast. They take effect here at once, and are on
+// disk when it returns nil; otherwise the other instance sends them again. Before Attach it fails with ErrStoreNotReady.
 func (r *Registry) ReceiveRestrictions(from string, requests []restriction.Request) error {
+	added, err := r.receive(from, requests)
+	if err != nil || added == 0 && r.saved() {
+		return err
+	}
+	return r.savePending()
+}
+
+// receive puts the restrictions of another instance into force that are not pending yet, and returns their number.
+func (r *Registry) receive(from string, requests []restriction.Request) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.log == nil {
-		return ErrStoreNotReady
+		return 0, ErrStoreNotReady
 	}
 	added := r.pending.Receive(r.log.State(), requests...)
 	for _, request := range added {
@@ -150,10 +185,11 @@
 		r.recent.add(request)
 	}
 	if len(added) > 0 {
+		r.pendingChanges++
 		r.publishOverrides(nil)
 		r.wakeWorkers()
 	}
-	return nil
+	return len(added), nil
 }
 
 // PendingRestrictions returns the requests that the log has not settled yet.
--- a/internal/endpoints/replicated_log.go
+++ b/internal/endpoints/replicated_log.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"linkpass/internal/config"
+	"linkpass/internal/config/restriction"
 )
 
 // ReplicatedLog is the part of the replicated store that a Registry uses.
@@ -12,6 +13,10 @@
 	State() *config.State
 	// IsLeader reports whether this instance leads the log.
 	IsLeader() bool
+	// SavePending replaces the pending requests on disk. They are on disk when it returns nil.
+	SavePending([]restriction.Request) error
+	// LoadPending returns the pending requests that are on disk, some of which the log may have settled since.
+	LoadPending() ([]restriction.Request, error)
 	// Propose returns the result of a command, or an error if it is not known that a quorum has committed it.
 	Propose(context.Context, config.Command) (config.Result, error)
 }
--- a/internal/endpoints/wire_golden_test.go
+++ b/internal/endpoints/wire_golden_test.go
@@ -19,6 +19,9 @@
 
 func (l followerLog) State() *config.State { return l.state }
 func (followerLog) IsLeader() bool         { return false }
+
+func (followerLog) SavePending([]restriction.Request) error     { return nil }
+func (followerLog) LoadPending() ([]restriction.Request, error) { return nil, nil }
 func (followerLog) Propose(context.Context, config.Command) (config.Result, error) {
 	panic("Propose called on a follower")
 }
