store: Close waits for the heartbeat that is being handled

Cause: the Raft library handles heartbeats on the transport's goroutines and does not wait for them in its shutdown. After it the state is not that of a follower, so a heartbeat that had begun writes the term to the log's file, which Close has closed. The same holds in the program at its end.

Change: the transport's wrapper counts the heartbeats that are handled, refuses later ones once it is closed, and waits for the rest.

--- a/internal/store/leader_commit.go
+++ b/internal/store/leader_commit.go
@@ -16,10 +16,13 @@
 	*raft.NetworkTransport
 	calls chan raft.RPC // the calls from the other members, after they were observed
 	done  chan struct{} // closed by Close
-	once  sync.Once     // closes done
 
-	mu     sync.Mutex  // guards latest
+	mu     sync.Mutex  // guards latest and closed
 	latest logPosition // of the highest term; the term is that of the leader, not that of the entry
+	closed bool        // Close was called; no heartbeat is handled any more
+	// heartbeats counts the heartbeats that are handled. Raft handles them on the transport's goroutines, which its
+	// shutdown does not wait for, and may write the term to the log's file.
+	heartbeats sync.WaitGroup
 }
 
 var (
@@ -42,10 +45,40 @@
 // Consumer returns the calls from the other members.
 func (o *commitObserver) Consumer() <-chan raft.RPC { return o.calls }
 
-// Close closes the transport and ends the observer's goroutine.
+// Close closes the transport, ends the observer's goroutine and waits until no heartbeat is handled.
 func (o *commitObserver) Close() error {
-	o.once.Do(func() { close(o.done) })
-	return o.NetworkTransport.Close()
+	o.mu.Lock()
+	if !o.closed {
+		close(o.done)
+	}
+	o.closed = true
+	o.mu.Unlock()
+	err := o.NetworkTransport.Close()
+	o.heartbeats.Wait()
+	return err
+}
+
+// SetHeartbeatHandler sets the function that handles heartbeats. It is not called after Close.
+func (o *commitObserver) SetHeartbeatHandler(handle func(raft.RPC)) {
+	o.NetworkTransport.SetHeartbeatHandler(o.untilClosed(handle))
+}
+
+// untilClosed returns a handler that calls handle before Close, and refuses the call after it.
+func (o *commitObserver) untilClosed(handle func(raft.RPC)) func(raft.RPC) {
+	return func(call raft.RPC) {
+		o.mu.Lock()
+		closed := o.closed
+		if !closed {
+			o.heartbeats.Add(1)
+		}
+		o.mu.Unlock()
+		if closed {
+			call.Respond(nil, raft.ErrTransportShutdown)
+			return
+		}
+		defer o.heartbeats.Done()
+		handle(call)
+	}
 }
 
 // forward observes the calls and passes them on until Close.
