--- a/internal/http1/helpers_test.go
+++ b/internal/http1/helpers_test.go
@@ -101,6 +101,18 @@
 	return func() { c.disarm(&at) }
 }
 
+// armedAfter returns the number of deadlines that are armed for the given time from now.
+func (c *fakeClock) armedAfter(d time.Duration) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at := range c.deadlines {
+		if *at == c.now+d {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *fakeClock) disarm(deadline *time.Duration) {
 	c.mu.Lock()
 	hold := c.hold
--- a/internal/http1/linger_test.go
+++ b/internal/http1/linger_test.go
@@ -54,7 +54,12 @@
 		t.Errorf("response = %+v, error = %v, want status 503", res, err)
 	}
 	_ = next.Close()
-	s.Clock.(*fakeClock).advance(lingerTimeout)
+	// A client sees the half-close before the server arms the deadline: the clock must stand still until then.
+	clock := s.Clock.(*fakeClock)
+	waitUntil(t, "the deadlines of lingering", func() bool {
+		return clock.armedAfter(lingerTimeout) == maxLingeringRejected
+	})
+	clock.advance(lingerTimeout)
 	waitUntil(t, "the end of lingering", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.rejected) == 0 })
 	close(release)
 }
