store: ConfirmLeader waits for the entry that is being applied

ConfirmLeader then gave an error, and resharding stepped down and began anew.

TestConfirmLeaderSucceedsDuringChanges failed at its third confirmation before.

--- a/internal/store/leader_state.go
+++ b/internal/store/leader_state.go
@@ -8,6 +8,9 @@
 	"linkpass/internal/config"
 )
 
+// applyPollInterval is the time between two checks of whether an entry is applied.
+const applyPollInterval = time.Millisecond
+
 // LeaderState is the state of a leader that a quorum has confirmed.
 type LeaderState struct {
 	Term  uint64 // in which this instance leads
@@ -34,8 +37,8 @@
 	if err := s.verifyLeader(ctx, operation); err != nil {
 		return LeaderState{}, err
 	}
-	if !s.hasApplied(committed) {
-		return LeaderState{}, fmt.Errorf("store: %s: %w", operation, ErrStale)
+	if err := s.awaitApplied(ctx, operation, committed); err != nil {
+		return LeaderState{}, err
 	}
 	state := s.State()
 	if s.raft.CurrentTerm() != term {
@@ -43,3 +46,23 @@
 	}
 	return LeaderState{Term: term, State: state, LeaseEnd: askedAt.Add(s.leaderLease)}, nil
 }
+
+// awaitApplied waits until the current state has the effect of all entries up to a committed index, for at most
+// quorumTimeout.
+func (s *Store) awaitApplied(ctx context.Context, operation string, index uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, quorumTimeout)
+	defer cancel()
+	ticker := time.NewTicker(applyPollInterval)
+	defer ticker.Stop()
+	for !s.hasApplied(index) {
+		if err := s.fsm.haltedErr(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("store: %s: %w: %w", operation, ErrStale, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
