--- a/internal/handover/leader.go
+++ b/internal/handover/leader.go
@@ -39,11 +39,13 @@
 // shares returns the share of this process and that of each follower. The caller must hold the mutex.
 func (g *Group) shares() (own, others Share) {
 	n := len(g.followers) + 1
-	own = Share{Processes: n, MaxOpen: g.maxOpen / n}
+	own = Share{Processes: n, MaxOpen: g.maxOpen}
+	if g.maxOpen <= 0 {
+		return own, own // no limit
+	}
+	own.MaxOpen = max(1, g.maxOpen/n) // 0 would mean no limit
 	others = own
-	unlimited := g.maxOpen <= 0
-	if g.retiring && n > 1 && !unlimited {
-		// Shares of at least 1, because 0 means no limit.
+	if g.retiring && n > 1 {
 		own.MaxOpen = max(1, g.inFlightAtRetire)
 		others.MaxOpen = max(1, (g.maxOpen-g.inFlightAtRetire)/(n-1))
 	}
--- a/internal/handover/leader_test.go
+++ b/internal/handover/leader_test.go
@@ -17,6 +17,8 @@
 		{name: "alone", maxOpen: 160, own: Share{1, 160}, others: Share{1, 160}},
 		{name: "one follower", maxOpen: 160, followers: 1, own: Share{2, 80}, others: Share{2, 80}},
 		{name: "two followers", maxOpen: 160, followers: 2, own: Share{3, 53}, others: Share{3, 53}},
+		{name: "more processes than queries", maxOpen: 2, followers: 3, own: Share{4, 1}, others: Share{4, 1}},
+		{name: "unlimited", followers: 3, own: Share{4, 0}, others: Share{4, 0}},
 		{name: "retiring alone", maxOpen: 160, retiring: true, inFlightAtRetire: 30, own: Share{1, 160}, others: Share{1, 160}},
 		{name: "retiring", maxOpen: 160, followers: 2, retiring: true, inFlightAtRetire: 30, own: Share{3, 30}, others: Share{3, 65}},
 		{name: "retiring idle", maxOpen: 160, followers: 1, retiring: true, own: Share{2, 1}, others: Share{2, 160}},
