reshardexec: the request of earlier versions is decoded by its golden test too

Seen in the last read: call.json got the new order, as AssignmentRequest has it now, and its old bytes went to call_unordered.json, which the test only encoded. Before, the same bytes were decoded too, so a check was lost.

--- a/internal/reshardexec/wire_golden_test.go
+++ b/internal/reshardexec/wire_golden_test.go
@@ -46,6 +46,7 @@
 		request := goldenRequest
 		request.Order = Order{}
 		goldentest.Encodes(t, "call_unordered.json", request)
+		goldentest.Decodes(t, "call_unordered.json", request)
 	})
 	t.Run("refusal", func(t *testing.T) {
 		goldentest.JSON(t, "refusal.json", AssignmentRefusal{Accepted: goldenOrder})
