--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -24,6 +24,9 @@
 	} `cmd:"" help:"Run an experiment; its last line of output has the figures, and its exit status is 1 if a rule was broken."`
 	Demo  demoCommand  `cmd:"" help:"Run an emulated fleet, discovery and a coordinator to try."`
 	Hold  holdCommand  `cmd:"" hidden:""`
+
+	Hostile hostileCommand `cmd:"" help:"Run hostile clients against a coordinator on this machine."`
+
 	Fleet fleetCommand `cmd:"" help:"Run an emulated fleet and its discovery in the foreground, and print how to start a coordinator against it."`
 }
 
@@ -157,6 +160,25 @@
 // Run stores many bodies and prints the memory that this takes. The command "run bodies" runs it in separate processes.
 func (c *holdCommand) Run() error { return experiment.HoldBodies(c.What, c.Bodies) }
 
+type hostileCommand struct {
+	Attack  string `arg:"" help:"Name of the attack; an unknown one is answered with a list of all."`
+	Target  string `arg:"" help:"Address of the listener (host:port); it must be a loopback address."`
+	Conns   int    `help:"Number of connections at a time." default:"10"`
+	Seconds int    `help:"Seconds that the attack takes, at most 600." default:"10"`
+	Seed    uint64 `help:"Seed." default:"1"`
+}
+
+// Run runs the attack.
+func (c *hostileCommand) Run() error {
+	return experiment.RunHostileClients(experiment.HostileConfig{
+		Attack:   c.Attack,
+		Target:   c.Target,
+		Conns:    c.Conns,
+		Duration: time.Duration(c.Seconds) * time.Second,
+		Seed:     c.Seed,
+	})
+}
+
 type fleetCommand struct {
 	Servers   int    `help:"Number of league servers." default:"6"`
 	Slices    int    `help:"Number of slices of the index at the start." default:"4"`
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -95,9 +94,9 @@
 
 // fleetPlatformConfig returns the platform's configuration of the coordinator, in JSON.
 func fleetPlatformConfig(fleet *emulator.Fleet) (string, error) {
-	endpointList, err := json.Marshal(fleet.Discovery.EndpointList())
+	endpointList, err := encodeEndpointList(fleet)
 	if err != nil {
-		return "", fmt.Errorf("experiment: encode the endpoint list: %w", err)
+		return "", err
 	}
 	cfg := worldConfig{coordinators: 1, maxOpen: 1000, capacity: emulator.Capacity{WarmupDuration: fleetWarmup, WarmupInitialShare: fleetWarmupInitialShare}}
 	return fmt.Sprintf(`{"name":"by-hand","listen":"127.0.0.1:0","discovery":%q,"seed":"5","limits":{"memory_mb":128,"sockets":1024},"known":%s,"settings":%s}`,
--- /dev/null
+++ b/internal/experiment/hostile_clients_test.go
@@ -0,0 +1,118 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"linkpass/internal/experiment/hostile"
+)
+
+const (
+	floodConns  = 10
+	attackTime  = 1500 * time.Millisecond
+	servedShare = 0.95     // of the sound clients' queries
+	maxLogBytes = 32 << 10 // of a run
+)
+
+// builtPrograms returns the programs that make test has built.
+func builtPrograms(t *testing.T) programs {
+	t.Helper()
+	dir := os.Getenv("LINKPASS_BUILT")
+	if dir == "" {
+		t.Skip("LINKPASS_BUILT is not set; make test sets it")
+	}
+	return programs{coordinator: filepath.Join(dir, "linkpass"), lab: filepath.Join(dir, "linkpass-lab")}
+}
+
+// runAttack runs one attack on a coordinator of its own.
+func runAttack(t *testing.T, limits processLimits, attacks ...plannedAttack) *attackResult {
+	t.Helper()
+	isolate(t)
+	programs := builtPrograms(t)
+	f, err := newProcessFleet(programs.coordinator, 1, limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.close()
+	result, err := f.runAttacks(programs, attacks, attackTime, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result)
+	return result
+}
+
+// checkLimits checks that a coordinator has lived and kept the limits of its settings.
+func checkLimits(t *testing.T, result *attackResult, limits processLimits) {
+	t.Helper()
+	if result.ended {
+		t.Error("the coordinator has ended")
+	}
+	if limit := int64(limits.memoryMB) << 20; result.peakMemory > limit {
+		t.Errorf("peak memory = %d bytes, limit %d", result.peakMemory, limit)
+	}
+	if result.maxDescriptors > limits.sockets {
+		t.Errorf("descriptors = %d, limit %d", result.maxDescriptors, limits.sockets)
+	}
+}
+
+// checkSound checks that sound clients got their answers in time. Where the attack is valid load, rejections are
+// allowed: the fleet's capacity is shared.
+func checkSound(t *testing.T, name string, result *soundResult, mayReject bool) {
+	t.Helper()
+	if result.late > 0 {
+		t.Errorf("%s: %d queries had no answer in time", name, result.late)
+	}
+	served := len(result.latencies)
+	if mayReject {
+		served += result.rejected
+	}
+	if float64(served) < servedShare*float64(result.sent()) {
+		t.Errorf("%s: %d of %d queries were served, want a share of %v", name, served, result.sent(), servedShare)
+	}
+}
+
+// testAttacks runs each attack that the filter selects on a coordinator of its own, and checks that the coordinator
+// keeps its limits and serves the sound clients.
+func testAttacks(t *testing.T, conns int, selects func(hostile.Attack) bool) {
+	for _, attack := range hostile.All() {
+		if !selects(attack) {
+			continue
+		}
+		t.Run(attack.Name, func(t *testing.T) {
+			limits := processLimits{memoryMB: processMemoryMB, sockets: processSockets, search: attack.Listener == hostile.Search}
+			result := runAttack(t, limits, plannedAttack{attack, conns})
+			checkLimits(t, result, limits)
+			checkSound(t, "kept connections", result.kept, attack.Valid)
+			checkSound(t, "fresh connections", result.fresh, attack.Valid)
+			if result.kept.closed > 0 {
+				t.Errorf("%d connections of sound clients were closed", result.kept.closed)
+			}
+			if result.logBytes > maxLogBytes {
+				t.Errorf("the coordinator logged %d bytes, want at most %d", result.logBytes, maxLogBytes)
+			}
+		})
+	}
+}
+
+// Guards against clients that hold requests back half way, or whose heads have many short fields, until the coordinator
+// passes its memory limit (report 9bf5e0).
+func TestHeldRequestsStayWithinMemoryLimit(t *testing.T) {
+	testAttacks(t, 450, func(a hostile.Attack) bool { return a.Holding })
+}
+
+// Guards against clients that send small or unsound requests at full speed until others get their answers late or never
+// (report 9bf5e0).
+func TestFloodsDelayNoOtherClient(t *testing.T) {
+	testAttacks(t, floodConns, func(a hostile.Attack) bool { return !a.Holding })
+}
+
+// Guards against more unfinished requests than there are descriptors, which shut the connections of sound clients
+// (report 9bf5e0).
+func TestUnfinishedRequestsShutNoSoundConnection(t *testing.T) {
+	testAttacks(t, 900, func(a hostile.Attack) bool {
+		return a.Name == "slow-heads" || a.Name == "partial-heads" || a.Name == "idle"
+	})
+}
--- a/internal/experiment/node_files.go
+++ b/internal/experiment/node_files.go
@@ -57,15 +57,24 @@
 
 // platformConfig returns the platform's configuration of coordinator i, in JSON.
 func (w *world) platformConfig(i int, adminAddr string) (string, error) {
-	endpointList, err := json.Marshal(w.fleet.Discovery.EndpointList())
+	endpointList, err := encodeEndpointList(w.fleet)
 	if err != nil {
-		return "", fmt.Errorf("experiment: encode the endpoint list: %w", err)
+		return "", err
 	}
 	name := fmt.Sprintf("%s-%d-n%d", filepath.Base(w.dir), w.seed, i)
 	return fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","operator":%q,"discovery":%q,"seed":"%x","limits":{"memory_mb":%d,"sockets":4096},"known":%s,"settings":%s}`,
 		name, adminAddr, w.fleet.Discovery.Addr(), w.seed*31+uint64(i), w.memoryMB, endpointList, platformSettings(w.worldConfig)), nil
 }
 
+// encodeEndpointList returns the endpoint list of a fleet's discovery, in JSON.
+func encodeEndpointList(fleet *emulator.Fleet) ([]byte, error) {
+	list, err := json.Marshal(fleet.Discovery.EndpointList())
+	if err != nil {
+		return nil, fmt.Errorf("experiment: encode the endpoint list: %w", err)
+	}
+	return list, nil
+}
+
 // platformSettings returns the platform's settings for the experiments' classes, in JSON.
 func platformSettings(cfg worldConfig) string {
 	var requestClasses, minWeights []string
--- /dev/null
+++ b/internal/experiment/sound_client.go
@@ -0,0 +1,151 @@
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// soundLoad is a load of clients that keep to the protocol: each has one connection, sends one query after another with
+// a pause between them, and keeps its connection.
+type soundLoad struct {
+	addr      string
+	clients   int
+	pause     time.Duration // between an answer and the next query
+	timeout   time.Duration // of each query
+	reconnect bool          // opens a new connection for each query
+	name      string        // prefix of the queries' names
+}
+
+// soundResult is what the clients of a soundLoad saw.
+type soundResult struct {
+	mu        sync.Mutex
+	latencies []time.Duration // of the answers with status 200
+	rejected  int             // answers with status 503 or 429
+	failed    int             // other answers
+	closed    int             // connections that ended without an answer
+	late      int             // answers, or connections that ended, more than soundSlack after the timeout
+}
+
+// soundSlack is how much later than its timeout an answer may come; the page of the rules on sockets gives it.
+const soundSlack = 50 * time.Millisecond
+
+// sent returns the number of queries.
+func (r *soundResult) sent() int { return len(r.latencies) + r.rejected + r.failed + r.closed }
+
+// quantile returns the latency that a share of the answers with status 200 did not exceed.
+func (r *soundResult) quantile(share float64) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(r.latencies)
+	return r.latencies[min(len(r.latencies)-1, int(share*float64(len(r.latencies))))]
+}
+
+func (r *soundResult) String() string {
+	return fmt.Sprintf("sent=%d ok=%d rejected=%d failed=%d closed=%d late=%d p50=%v p99=%v max=%v", r.sent(), len(r.latencies),
+		r.rejected, r.failed, r.closed, r.late, r.quantile(0.5).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond),
+		r.quantile(1).Round(time.Millisecond))
+}
+
+// run sends queries until the context ends, and waits for the answers to those that are open then.
+func (l soundLoad) run(ctx context.Context) *soundResult {
+	result := &soundResult{}
+	var clients sync.WaitGroup
+	for i := range l.clients {
+		clients.Go(func() { l.runClient(ctx, i, result) })
+	}
+	clients.Wait()
+	return result
+}
+
+func (l soundLoad) runClient(ctx context.Context, number int, result *soundResult) {
+	var conn *soundConn
+	for sent := 0; ctx.Err() == nil; sent++ {
+		began := time.Now()
+		if conn == nil {
+			conn = dialSound(l.addr, l.timeout)
+		}
+		status := 0
+		if conn != nil {
+			status = conn.query(fmt.Sprintf("%s-%d-%d", l.name, number, sent), l.timeout)
+		}
+		result.add(status, time.Since(began), l.timeout)
+		if conn != nil && (status == 0 || conn.closes || l.reconnect) {
+			_ = conn.Close()
+			conn = nil
+		}
+		select {
+		case <-time.After(l.pause):
+		case <-ctx.Done():
+		}
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// add records the end of one query: its status, or 0 if its connection ended or could not be opened.
+func (r *soundResult) add(status int, took, timeout time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if took > timeout+soundSlack {
+		r.late++
+	}
+	switch status {
+	case 200:
+		r.latencies = append(r.latencies, took)
+	case 0:
+		r.closed++
+	case 429, 503:
+		r.rejected++
+	default:
+		r.failed++
+	}
+}
+
+// soundConn is a connection of a sound client.
+type soundConn struct {
+	net.Conn
+	reader *bufio.Reader
+	closes bool // the coordinator ends the connection after the latest answer
+}
+
+// dialSound opens a connection. It returns nil if that fails.
+func dialSound(addr string, timeout time.Duration) *soundConn {
+	conn, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil
+	}
+	return &soundConn{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// soundGiveUp is how long after the timeout of its query a client goes on waiting, to tell late answers from none.
+const soundGiveUp = 2 * time.Second
+
+// query sends a query and returns the status of its answer, 0 if the connection ended without one.
+func (c *soundConn) query(name string, timeout time.Duration) int {
+	const body = `{"parts":[{"id":0,"w":1}],"expr":"sound"}`
+	_ = c.SetDeadline(time.Now().Add(timeout + soundGiveUp))
+	_, err := fmt.Fprintf(c, "POST /team-lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		name, timeout.Milliseconds(), len(body), body)
+	if err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	c.closes = response.Close
+	return response.StatusCode
+}
