--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -22,8 +22,8 @@
 		Bodies  bodiesCommand  `cmd:"" help:"Keep bodies in memory, in files or nowhere, while servers fail and pause."`
 		Drains  drainsCommand  `cmd:"" help:"Drain servers at any of five coordinators, with and without a majority, and measure when each drain takes effect."`
 	} `cmd:"" help:"Run an experiment; its last line of output has the figures, and its exit status is 1 if a rule was broken."`
-	Demo  demoCommand  `cmd:"" help:"Run an emulated fleet, discovery and a coordinator to try."`
-	Hold  holdCommand  `cmd:"" hidden:""`
+	Demo demoCommand `cmd:"" help:"Run an emulated fleet, discovery and a coordinator to try."`
+	Hold holdCommand `cmd:"" hidden:""`
 
 	Hostile hostileCommand `cmd:"" help:"Run hostile clients against a coordinator on this machine."`
 
