routing: 2 to a power has the same bits on every processor

On arm64 TestDecisionsMatchGoldenTrace fails on (4 of 38 variants, also with -d=fmahash=qn): math.Exp2 is an assembly routine there and portable code on x86-64, and its last bit differs.

--- a/internal/routing/load_estimate.go
+++ b/internal/routing/load_estimate.go
@@ -83,7 +83,7 @@
 	reported := l.reportedRequests(s)
 	serviceTime := l.relativeServiceTime(now, s)
 	ageInLatencies := float64(now-s.report.at) / l.latencies.overallMedian(now)
-	remaining := math.Exp2(-ageInLatencies / (reportHalfLifeLatencies * serviceTime))
+	remaining := exp2(-ageInLatencies / (reportHalfLifeLatencies * serviceTime))
 	requests := max(0, reported-float64(s.report.inFlight))*remaining + float64(s.inFlight.count)
 	if l.settings.WeightsAreCapacities && s.endpoint.Weight > 0 {
 		requests = (requests+1)/s.endpoint.Weight - 1
--- a/internal/routing/outlier_detection.go
+++ b/internal/routing/outlier_detection.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -54,7 +53,7 @@
 // health returns a server's current health for a class, from 0 to 1. Bad health decays, so that an ejected
 // server gets attempts again.
 func (d *outlierDetector) health(now time.Duration, s *server, class int) float64 {
-	return 1 - (1-s.health.byClass[class])*math.Exp2(-float64(now-s.health.at)/d.halfLife)
+	return 1 - (1-s.health.byClass[class])*exp2(-float64(now-s.health.at)/d.halfLife)
 }
 
 // record moves a server's health for a class towards the quality of a result, from 0 to 1. step is the share
--- a/internal/routing/overload_backoff.go
+++ b/internal/routing/overload_backoff.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"time"
 )
 
@@ -22,7 +21,7 @@
 // it. classMedian is in nanoseconds.
 func (b *overloadBackoff) start(now time.Duration, classMedian float64, connectFailed bool) {
 	if now >= b.until {
-		delay := initialBackoffLatencies * classMedian * math.Exp2(float64(min(b.count, maxBackoffDoublings)))
+		delay := initialBackoffLatencies * classMedian * exp2(float64(min(b.count, maxBackoffDoublings)))
 		b.until = now + time.Duration(delay)
 		b.count++
 	}
