fairqueue: equal shares of processor time for clients' connections

The package grants turns to connections by fair queueing and rests after a burst, in which the network is polled.

--- /dev/null
+++ b/internal/fairqueue/scheduler_test.go
@@ -0,0 +1,168 @@
+package fairqueue
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const turnTime = 500 * time.Microsecond
+
+// A flow that always has work must not delay one that has little: among ten busy flows a light one waits for about one
+// turn and a rest, and not for all of them.
+func TestLightFlowComesBeforeBusyOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(1)
+		stop := make(chan struct{})
+		for range 10 {
+			busy := s.NewFlow()
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						busy.Do(0, func() { time.Sleep(turnTime) })
+					}
+				}
+			}()
+		}
+		light := s.NewFlow()
+		time.Sleep(100 * time.Millisecond)
+		for range 20 {
+			began := time.Now()
+			light.Do(0, func() {})
+			if waited := time.Since(began); waited > turnTime+rest {
+				t.Errorf("the light flow waited %v, want at most %v", waited, turnTime+rest)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		close(stop)
+		time.Sleep(100 * time.Millisecond)
+	})
+}
+
+// Equally busy flows get equal shares, whether their turns are long or short.
+func TestBusyFlowsGetEqualTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(1)
+		stop := make(chan struct{})
+		var used [8]atomic.Int64
+		for i := range used {
+			turn := []time.Duration{100 * time.Microsecond, 2 * time.Millisecond}[i%2]
+			flow := s.NewFlow()
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						flow.Do(0, func() { time.Sleep(turn) })
+						used[i].Add(int64(turn + turnOverhead))
+					}
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		close(stop)
+		time.Sleep(100 * time.Millisecond)
+		first := used[0].Load()
+		for i := range used {
+			if u := used[i].Load(); u < first*9/10 || u > first*11/10 {
+				t.Errorf("flow %d used %v, flow 0 %v; want equal shares", i, time.Duration(u), time.Duration(first))
+			}
+		}
+	})
+}
+
+// One flow alone that never waits must rest too, because the runtime does not poll the network while it runs.
+func TestSingleBusyFlowRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		flow := New(1).NewFlow()
+		began, work := time.Now(), time.Duration(0)
+		for range 100 {
+			flow.Do(0, func() { time.Sleep(turnTime) })
+			work += turnTime
+		}
+		if rested := time.Since(began) - work; rested < work/4 {
+			t.Errorf("rested %v in %v of work, want a quarter of it at least", rested, work)
+		}
+	})
+}
+
+// A charge counts like a turn: the flow comes after others until they have used as much.
+func TestChargedFlowComesLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(1)
+		charged, other, holder := s.NewFlow(), s.NewFlow(), s.NewFlow()
+		charged.Charge(time.Second)
+		order := make(chan string, 2)
+		go holder.Do(0, func() { time.Sleep(time.Millisecond) })
+		synctest.Wait()
+		go charged.Do(0, func() { order <- "charged" })
+		synctest.Wait()
+		go other.Do(0, func() { order <- "other" })
+		time.Sleep(20 * time.Millisecond)
+		if first := <-order; first != "other" {
+			t.Errorf("first turn = %v, want other", first)
+		}
+	})
+}
+
+// Of flows that have used equally much the one with the short turn comes first: a small request does not wait for large
+// ones.
+func TestShortTurnComesBeforeLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(1)
+		order := make(chan string, 9)
+		go s.NewFlow().Do(0, func() { time.Sleep(time.Millisecond) })
+		synctest.Wait()
+		for range 3 {
+			flow := s.NewFlow()
+			go flow.Do(time.Millisecond, func() { order <- "long" })
+		}
+		synctest.Wait()
+		short := s.NewFlow()
+		go short.Do(0, func() { order <- "short" })
+		time.Sleep(20 * time.Millisecond)
+		if first := <-order; first != "short" {
+			t.Errorf("first turn = %s, want short", first)
+		}
+	})
+}
+
+// Turns run at the same time up to the number of slots, and no more.
+func TestSlotsBoundConcurrentTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(2)
+		var running, most atomic.Int32
+		for range 6 {
+			flow := s.NewFlow()
+			go flow.Do(0, func() {
+				if n := running.Add(1); n > most.Load() {
+					most.Store(n)
+				}
+				time.Sleep(time.Millisecond)
+				running.Add(-1)
+			})
+			synctest.Wait()
+		}
+		time.Sleep(50 * time.Millisecond)
+		if most.Load() != 2 {
+			t.Errorf("%d turns ran at a time, want 2", most.Load())
+		}
+	})
+}
+
+// A connection without a scheduler is served at once.
+func TestNilFlowDoesNotWait(t *testing.T) {
+	var s *Scheduler
+	flow, done := s.NewFlow(), false
+	flow.Pass()
+	flow.Charge(time.Hour)
+	flow.Do(0, func() { done = true })
+	if !done {
+		t.Error("work of a nil flow was not done")
+	}
+}
