querynames: a query whose client has left runs at no process again

Change: a table of claimed names that the processes of one coordinator map into memory; a claim is given up when the answer was delivered or nothing was sent.

--- a/internal/daemon/platform_front.go
+++ b/internal/daemon/platform_front.go
@@ -1,12 +1,16 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 
+	"linkpass/internal/eventlog"
 	"linkpass/internal/lifecycle"
 	"linkpass/internal/platform"
+	"linkpass/internal/querynames"
 )
 
 // platformFront is the front that speaks the platform's protocol.
@@ -15,6 +19,8 @@
 	core   *queryCore
 	bodies *bodyStore
 	fronts *clientFronts
+
+	names *querynames.Table // nil until the front has started
 }
 
 func newPlatformFront(p *process, core *queryCore, bodies *bodyStore, fronts *clientFronts) *platformFront {
@@ -22,11 +28,14 @@
 }
 
 func (f *platformFront) component() lifecycle.Component {
-	c := lifecycle.Component{Name: "platform", DependsOn: []string{"core", "bodies", "upstreams"}}
-	return f.fronts.frontComponent(c, f.start)
+	c := f.fronts.frontComponent(lifecycle.Component{Name: "platform", DependsOn: []string{"core", "bodies", "upstreams"}}, f.start)
+	closeFront := c.Stop
+	c.Stop = func() error { return errors.Join(closeFront(), f.names.Close()) }
+	return c
 }
 
 func (f *platformFront) start() (*boundServer, error) {
+	f.names = openQueryNames(f.cfg.name)
 	handler := &platform.Front{
 		Core:       f.core.core,
 		Classes:    f.cfg.host.Classes,
@@ -36,6 +45,7 @@
 		Ready:      f.readiness.Ready,
 		BodyStore:  f.bodies.store,
 		RetryAfter: f.bodies.retryAfter(),
+		Names:      f.names,
 	}
 	for _, class := range f.cfg.routingSettings.Classes {
 		handler.PriorityWeights = append(handler.PriorityWeights, class.PriorityWeight)
@@ -47,6 +57,16 @@
 	return f.fronts.add("platform", ln, handler, platform.HeaderFields), nil
 }
 
+// openQueryNames returns the table of names that the processes of the coordinator of this name share. If its file cannot
+// be used, the table is this process's alone.
+func openQueryNames(name string) *querynames.Table {
+	table, err := querynames.Open(filepath.Join(os.TempDir(), "linkpass-"+filepath.Base(name)+".names"))
+	if err != nil {
+		eventlog.QueryNamesNotShared.Log(err)
+	}
+	return table
+}
+
 // clientListener returns the listener that clients connect to: the platform's socket, which outlives this process, if
 // the platform passes one as fd, or else a socket of this process at addr. The platform's socket is only ever closed
 // here and never shut down, because other processes accept on it too.
--- a/internal/eventlog/events_handover.go
+++ b/internal/eventlog/events_handover.go
@@ -19,6 +19,13 @@
 		Action: "the program serves with the full limits; " +
 			"make sure that `$TMPDIR` can be written before the next change of version",
 	})
+	QueryNamesNotShared = register(Event{
+		Component: "handover", Name: "query_names_not_shared", Level: hclog.Warn,
+		Fields: []string{"err"},
+		Meaning: "the file in `$TMPDIR` with the names of the queries that run can't be used, so that a query may run at " +
+			"this process and at the other one of a change of version",
+		Action: "make sure that `$TMPDIR` can be written, with 256 KB of room, before the next change of version",
+	})
 	HandoverMessageInvalid = register(Event{
 		Component: "handover", Name: "handover_message_invalid", FormerName: "handover_bad", Level: hclog.Warn,
 		Fields:  []string{"line"},
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -29,6 +29,11 @@
 	return &requestError{reason: reason, status: 400, err: fmt.Errorf(format, args...)}
 }
 
+// nameInUse returns the error of a query whose name is that of another one.
+func nameInUse(name string) error {
+	return &requestError{reason: reasonDuplicate, status: 409, err: fmt.Errorf("a query named %.40q is open", name)}
+}
+
 // Error returns the text that is sent to the client.
 func (e *requestError) Error() string { return e.err.Error() }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/textproto"
+	"slices"
 	"time"
 
 	"linkpass/internal/bodystore"
@@ -10,6 +11,7 @@
 	"linkpass/internal/eventlog"
 	"linkpass/internal/http1"
 	"linkpass/internal/metrics"
+	"linkpass/internal/querynames"
 )
 
 // Core runs queries; coordinator.Core implements it.
@@ -35,8 +37,11 @@
 	PriorityWeights []float64        // weights of the classes, indexed by class number; used with BodyStore only
 	RetryAfter      string           // Retry-After in seconds, sent if BodyStore has no capacity; "": no such header
 
-	rejectionLog  eventlog.RateLimited // log of invalid requests
-	namesInFlight nameSet              // names of the queries in flight
+	// Names are those of the queries that run, and of those that ran for a client that did not stay. It ensures that they
+	// are unique: the parts of two queries with one name could not be told apart by the servers.
+	Names *querynames.Table
+
+	rejectionLog eventlog.RateLimited // log of invalid requests
 }
 
 // Serve answers one request. startedAt is the time at which it was received, on the core's clock. Serve returns when
@@ -48,17 +53,18 @@
 	var query coordinator.Query
 	var err error
 	req.Work(func() { query, err = f.decodeQuery(req) })
-	if err == nil {
-		err = f.namesInFlight.add(query.Name)
-	}
 	if err != nil {
 		return f.reject(err)
 	}
-	defer f.namesInFlight.remove(query.Name)
+	name, ok := f.Names.Claim(query.Name)
+	if !ok {
+		return f.reject(nameInUse(query.Name))
+	}
 	began := time.Now()
 	stored := f.storePayload(&query)
 	req.Charge(time.Since(began))
 	if !stored {
+		name.Release()
 		return f.rejectPayload()
 	}
 	req.Body = nil // the query has its own copy of the payload
@@ -67,11 +73,20 @@
 	}
 	query.StartedAt = startedAt
 	answer := f.await(ctx, query)
+	if ctx.Err() == nil || !mayHaveRun(answer) {
+		name.Release()
+	}
 	req.Charge(time.Duration(len(query.Parts)) * costPerPart)
 	req.Work(func() { res = encodeAnswer(answer) })
 	return res
 }
 
+// mayHaveRun reports whether a part of the query with this answer may have run at a server.
+func mayHaveRun(answer coordinator.Answer) bool {
+	attempted := func(m coordinator.MissingPart) bool { return m.Attempted }
+	return len(answer.Values) > 0 || answer.Status == coordinator.Answered || slices.ContainsFunc(answer.Missing, attempted)
+}
+
 // readiness answers the health check of a load balancer.
 func (f *Front) readiness() *http1.Response {
 	if f.Ready() {
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -9,6 +9,7 @@
 	"linkpass/internal/coordinator"
 	"linkpass/internal/http1"
 	"linkpass/internal/metrics"
+	"linkpass/internal/querynames"
 	_ "linkpass/internal/testrand"
 )
 
@@ -51,6 +52,7 @@
 		ShardCount: 6,
 		Counters:   metrics.NewCounters(),
 		Ready:      func() bool { return true },
+		Names:      querynames.New(),
 	}
 }
 
@@ -168,3 +170,24 @@
 		t.Errorf("%d queries reached the core, want 2", len(c.queries))
 	}
 }
+
+// Guards against an id that runs twice (report 9bf5e0): the name of a query that may have run for a client that has left
+// is not served again; that of a query of which nothing was sent is.
+func TestNameStaysInUseAfterClientHasLeft(t *testing.T) {
+	for name, want := range map[string]struct {
+		attempted bool
+		status    int
+	}{"sent": {true, 409}, "unsent": {false, 500}} {
+		t.Run(name, func(t *testing.T) {
+			c := &fakeCore{answer: coordinator.Answer{Status: coordinator.Failed, Missing: []coordinator.MissingPart{{Attempted: want.attempted}}}}
+			f := newFront(c)
+			left, leave := context.WithCancel(context.Background())
+			c.onSubmit = leave
+			f.Serve(left, 0, newRequest("/checkout", validBody))
+			c.onSubmit = nil
+			if res := serve(f, newRequest("/checkout", validBody)); res.Status != want.status {
+				t.Errorf("the same name again: status = %d, want %d", res.Status, want.status)
+			}
+		})
+	}
+}
