eventlog: a stopped reader of the log does not stop the program; long values are cut

Cause, found while looking at what a client can make the process hold: lines are written to standard error under one lock, so a reader that stops holds up each goroutine that logs; the name of an unknown class stood in a line whole, up to 64 KB when quoted; query_overdue and store_failed, which clients can cause, were not rate-limited. Change: a queue of 512 lines with a goroutine of its own, which drops and counts further lines (log_lines_dropped); values are cut at 512 bytes; both events are rate-limited.

--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"linkpass/internal/deadline"
+	"linkpass/internal/eventlog"
 	"linkpass/internal/metrics"
 	"linkpass/internal/outcome"
 	"linkpass/internal/routing"
@@ -28,8 +29,11 @@
 	disableReplan      bool
 	epoch              time.Time // when Now was 0
 
-	mailbox  chan message  // only Run receives from it
-	stopped  chan struct{} // closed by Run when it ends
+	mailbox chan message  // only Run receives from it
+	stopped chan struct{} // closed by Run when it ends
+
+	overdueLog eventlog.RateLimited
+
 	deferred deferredQueue
 
 	// Owned by the goroutine of Run.
--- a/internal/coordinator/submit.go
+++ b/internal/coordinator/submit.go
@@ -66,7 +66,7 @@
 // armOverdue arms a timer that fails the query AnswerSlack after its deadline, in case the router never ends it.
 func (c *Core) armOverdue(q *query) {
 	q.overdueTimer = c.deadlines.Arm(q.deadline+c.settings.AnswerSlack, func() {
-		eventlog.QueryOverdue.Log(q.Name, q.Class)
+		c.overdueLog.Log(eventlog.QueryOverdue, q.Name, q.Class)
 		c.counters.Add("queries_overdue", 1)
 		c.addEvent(routing.ClientDisconnected{ID: q.id})
 		c.finish(q, Answer{Status: Failed, TimedOut: true})
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -35,12 +35,15 @@
 // Main runs the daemon with the operators' file until SIGTERM or an interrupt, and returns the exit code.
 func Main(file string) (code int) {
 	signals := NotifySignals()
+	output := eventlog.NewQueueWriter(os.Stderr)
+	eventlog.SetOutput(output, false)
+	defer output.Flush()
 	cfg, err := Load(os.Getenv)
 	if err == nil {
 		cfg.Search, err = LoadSearchConfig(file)
 	}
 	if err == nil {
-		cfg.Search.Log.Apply(os.Stderr)
+		cfg.Search.Log.Apply(output)
 		err = cfg.Check()
 	}
 	if err != nil {
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -61,7 +61,11 @@
 // message returns the name as plain text, which is the line's message.
 func (e *Event) message() string { return strings.ReplaceAll(e.Name, "_", " ") }
 
-// singleLine replaces line breaks, so that a value from outside the program cannot forge a log line.
+// lineBreaks replaces line breaks.
+var lineBreaks = strings.NewReplacer("\r\n", "; ", "\n", "; ", "\r", "; ")
+
+// singleLine replaces line breaks and cuts off long values, so that a value from outside the program can neither forge a
+// log line nor fill the log.
 func singleLine(v any) any {
 	var s string
 	switch v := v.(type) {
@@ -74,5 +78,5 @@
 	default:
 		return v
 	}
-	return strings.NewReplacer("\r\n", "; ", "\n", "; ", "\r", "; ").Replace(s)
+	return lineBreaks.Replace(cut(s))
 }
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -68,5 +68,8 @@
 func (c *Counters) Log(reason string) {
 	values := []any{reason}
 	c.each(func(name string, n int64) { values = append(values, name, n) })
+	if dropped := eventlog.DroppedLines(); dropped > 0 {
+		values = append(values, "log_lines_dropped", dropped)
+	}
 	eventlog.Counters.Log(values...)
 }
--- a/internal/opensearch/store_error.go
+++ b/internal/opensearch/store_error.go
@@ -11,6 +11,9 @@
 	"linkpass/internal/store"
 )
 
+// storeErrorLog limits the log events of calls that the store could not serve, which any client can make.
+var storeErrorLog eventlog.RateLimited
+
 // storeErrorResponse returns the response to a request for path that failed in the store. A follower redirects to the
 // leader. A failure of the store itself is counted.
 func storeErrorResponse(err error, path string, counters *metrics.Counters) *http1.Response {
@@ -33,6 +36,6 @@
 		e.Type = errTypeNoQuorum
 	}
 	counters.Add("store_unavailable", 1)
-	eventlog.StoreFailed.Log(err)
+	storeErrorLog.Log(eventlog.StoreFailed, err)
 	return errorResponse(e)
 }
--- a/internal/routing/exp2.go
+++ b/internal/routing/exp2.go
@@ -3,11 +3,12 @@
 import "math"
 
 // exp2 returns 2 to the power of x, with the same result on every processor: math.Exp2 is computed by other
-// instructions on arm64 than on x86-64, and its last bit differs, so that coordinators would decide differently.
+// instructions on arm64 than on x86-64, and its last bit differs, so that coordinators would decide
+// differently.
 //
 // 2**x is 2**k times e**r, with k the integer nearest to x and r = (x-k) ln 2, kept as hi - lo. e**r is
-// approximated by a rational function of r (Remez, on [0, ln 2 / 2]). The conversions to float64 keep the compiler
-// from fusing a multiplication with an addition.
+// approximated by a rational function of r (Remez, on [0, ln 2 / 2]). The conversions to float64 keep the
+// compiler from fusing a multiplication with an addition.
 func exp2(x float64) float64 {
 	const (
 		ln2High   = 6.93147180369123816490e-01
