handover: a start that fails beside the other process ends instead of hanging

What operators saw: a new process whose admin address was taken by the old one neither served nor ended. Cause: the start holds the lock that a share from the old process waits for, and closing the group waited for the share's goroutine under that lock. Change: the component leaves the group without waiting; what follows the start, and the stop, wait without the lock.

--- a/internal/daemon/limits_share.go
+++ b/internal/daemon/limits_share.go
@@ -43,8 +43,10 @@
 		alone: make(chan struct{}, 1)}
 }
 
+// component returns the component that leaves the group. It does not wait for the group's goroutines, because a start that
+// fails stops the components with mu held, which apply locks; Start and stop wait.
 func (l *limitsShare) component() lifecycle.Component {
-	return lifecycle.Component{Name: "handover", Stop: func() error { l.group.Close(); return nil }}
+	return lifecycle.Component{Name: "handover", Stop: func() error { l.group.Leave(); return nil }}
 }
 
 // join finds another process of this coordinator, and shares the limits with it. It is called before the components
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -32,19 +32,23 @@
 	}
 	p, list := newProgram(cfg)
 	p.limits.join()
-	var err error
-	if p.components, err = lifecycle.New(list...); err == nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		err = p.components.Start(!p.isSuccessor())
-	}
-	if err != nil {
-		p.limits.group.Close()
+	if err := p.startComponents(list); err != nil {
+		p.limits.group.Close() // without mu, for which a share that arrives waits
 		return nil, err
 	}
 	return p, nil
 }
 
+// startComponents starts the components. If one fails, none is left running.
+func (p *Program) startComponents(list []lifecycle.Component) (err error) {
+	if p.components, err = lifecycle.New(list...); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.components.Start(!p.isSuccessor())
+}
+
 // newProgram creates the components, and returns them in the order of their start.
 func newProgram(cfg Config) (*Program, []lifecycle.Component) {
 	proc := newProcess(cfg)
--- a/internal/daemon/query_names_test.go
+++ b/internal/daemon/query_names_test.go
@@ -35,6 +35,36 @@
 	}, socket.Addr().String()
 }
 
+// Guards against a new process that hangs if it cannot start beside the old one, which has sent it its share of the
+// limits meanwhile: its start must fail.
+func TestFailedStartBesideOtherProcessEnds(t *testing.T) {
+	same, _ := sharedSocket(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	b := newTestbed(t, 1, same)
+	for range 20 {
+		cfg := b.p.cfg
+		cfg.adminListen = taken.Addr().String()
+		same(&cfg)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := Start(cfg)
+			failed <- err
+		}()
+		select {
+		case err := <-failed:
+			if err == nil {
+				t.Fatal("a start with an address in use succeeded")
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("a start that cannot succeed hangs")
+		}
+	}
+}
+
 // namedQuery returns a request with the given name, as it is written.
 func namedQuery(name string) string {
 	const body = `{"parts":[{"id":0,"w":1}],"expr":"c41e"}`
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -62,6 +62,7 @@
 	p.stopping = true
 	p.mu.Unlock()
 	err := p.components.Stop()
+	p.limits.group.Close()
 	p.counters.Log("exit")
 	eventlog.Stopped.Log()
 	return err
--- a/internal/handover/group.go
+++ b/internal/handover/group.go
@@ -110,9 +110,16 @@
 	})
 }
 
-// Close leaves the group and waits until all of its goroutines have ended.
+// Close leaves the group and waits until all of its goroutines have ended, and so until onShare has returned.
 func (g *Group) Close() {
+	g.Leave()
+	g.wg.Wait()
+}
+
+// Leave leaves the group, and does not wait: onShare may still be called for a share that has arrived.
+func (g *Group) Leave() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.closed = true
 	if g.listener != nil {
 		_ = g.listener.Close() // also removes the socket's file
@@ -123,6 +130,4 @@
 	for follower := range g.followers {
 		_ = follower.Close()
 	}
-	g.mu.Unlock()
-	g.wg.Wait()
 }
