--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -20,6 +20,7 @@
 	Run struct {
 		Reshape reshapeCommand `cmd:"" help:"Change slices under load; compare with no changes, and with moved parts being refused."`
 		Bodies  bodiesCommand  `cmd:"" help:"Keep bodies in memory, in files or nowhere, while servers fail and pause."`
+		Faults  faultsCommand  `cmd:"" help:"Run a coordinator as a process under hostile clients, signals, stalls, resets and failing calls."`
 		Drains  drainsCommand  `cmd:"" help:"Drain servers at any of five coordinators, with and without a majority, and measure when each drain takes effect."`
 	} `cmd:"" help:"Run an experiment; its last line of output has the figures, and its exit status is 1 if a rule was broken."`
 	Demo demoCommand `cmd:"" help:"Run an emulated fleet, discovery and a coordinator to try."`
@@ -139,6 +140,22 @@
 	}))
 }
 
+type faultsCommand struct {
+	Seed     uint64 `help:"First seed." default:"1"`
+	Seeds    int    `help:"Number of consecutive seeds, from the first on." default:"1"`
+	Seconds  int    `help:"Seconds that each run takes." default:"20"`
+	Programs string `help:"Directory of the programs." default:"bin"`
+}
+
+// Run runs the experiment.
+func (c *faultsCommand) Run() error {
+	return checkRules(experiment.RunFaults(experiment.FaultsConfig{
+		Programs: c.Programs,
+		Seeds:    runFlags{Seed: c.Seed, Seeds: c.Seeds}.seeds(),
+		Seconds:  c.Seconds,
+	}))
+}
+
 type demoCommand struct {
 	Seed uint64 `help:"Seed." default:"1"`
 	Log  string `help:"File for the coordinator's log lines; if not set, they are discarded."`
--- a/internal/experiment/hostile_run.go
+++ b/internal/experiment/hostile_run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -25,6 +26,11 @@
 	lab         string // linkpass-lab
 }
 
+// programsIn returns the programs in a directory.
+func programsIn(dir string) programs {
+	return programs{coordinator: filepath.Join(dir, "linkpass"), lab: filepath.Join(dir, "linkpass-lab")}
+}
+
 // plannedAttack is an attack with its number of connections.
 type plannedAttack struct {
 	hostile.Attack
@@ -68,7 +74,7 @@
 
 // runAttacks starts a coordinator, attacks it for a duration while sound clients use it, and kills it.
 func (f *processFleet) runAttacks(programs programs, attacks []plannedAttack, duration time.Duration, seed uint64) (*attackResult, error) {
-	p, err := f.start()
+	p, err := f.start(nil)
 	if err != nil {
 		return nil, err
 	}
