--- a/internal/experiment/hostile_clients_test.go
+++ b/internal/experiment/hostile_clients_test.go
@@ -135,3 +135,32 @@
 		return a.Name == "slow-heads" || a.Name == "partial-heads" || a.Name == "idle"
 	})
 }
+
+// Guards against limits that shut out honest clients: those that write slowly and those with large requests are served
+// beside hostile ones that hold as many connections and bytes as they may.
+func TestSlowWritersAndLargeRequestsAreServedUnderAttack(t *testing.T) {
+	isolate(t)
+	programs := builtPrograms(t)
+	limits := processLimits{memoryMB: processMemoryMB, sockets: processSockets}
+	f, err := newProcessFleet(programs.coordinator, 1, limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.close()
+	slow := soundLoad{clients: 50, pause: 100 * time.Millisecond, timeout: 2 * time.Second, writeTime: 1200 * time.Millisecond, name: "slow"}
+	large := soundLoad{clients: 4, pause: 100 * time.Millisecond, timeout: 2 * time.Second, textBytes: 60 << 10, name: "large"}
+	var attacks []plannedAttack
+	for name, conns := range map[string]int{"half-bodies": 300, "partial-heads": 50, "pipelined-no-id": floodConns} {
+		attack, _ := hostile.Find(name)
+		attacks = append(attacks, plannedAttack{attack, conns})
+	}
+	result, err := f.runAttacks(programs, attacks, 3*time.Second, 1, slow, large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result, result.others)
+	checkLimits(t, result, limits)
+	checkSound(t, "kept connections", result.kept, false)
+	checkSound(t, "slow writers", result.others[0], false)
+	checkSound(t, "large requests", result.others[1], false)
+}
--- a/internal/experiment/hostile_run.go
+++ b/internal/experiment/hostile_run.go
@@ -39,9 +39,10 @@
 
 // attackResult is what a run of attacks showed.
 type attackResult struct {
-	kept           *soundResult // of the sound clients that keep their connections
-	fresh          *soundResult // of the sound clients that open a connection for each query
-	peakMemory     int64        // bytes
+	kept           *soundResult   // of the sound clients that keep their connections
+	fresh          *soundResult   // of the sound clients that open a connection for each query
+	others         []*soundResult // of the further clients, in the order of their loads
+	peakMemory     int64          // bytes
 	maxDescriptors int
 	logBytes       int // that the coordinator logged
 	ended          bool
@@ -72,8 +73,11 @@
 	}, nil
 }
 
-// runAttacks starts a coordinator, attacks it for a duration while sound clients use it, and kills it.
-func (f *processFleet) runAttacks(programs programs, attacks []plannedAttack, duration time.Duration, seed uint64) (*attackResult, error) {
+// runAttacks starts a coordinator, attacks it for a duration while sound clients use it, and kills it. loads are those of
+// further clients.
+func (f *processFleet) runAttacks(
+	programs programs, attacks []plannedAttack, duration time.Duration, seed uint64, loads ...soundLoad,
+) (*attackResult, error) {
 	p, err := f.start(nil)
 	if err != nil {
 		return nil, err
@@ -88,6 +92,11 @@
 	running.Go(func() { load := sound; load.name = "kept"; result.kept = load.run(ctx) })
 	running.Go(func() { load := sound; load.name, load.reconnect = "fresh", true; result.fresh = load.run(ctx) })
 	running.Go(func() { result.sampleDescriptors(ctx, p) })
+	result.others = make([]*soundResult, len(loads))
+	for i, load := range loads {
+		load.addr = f.platformAddr
+		running.Go(func() { result.others[i] = load.run(ctx) })
+	}
 	time.Sleep(duration / 10) // the sound clients alone
 	for _, attack := range attacks {
 		stop, err := f.startAttack(programs, attack, seed)
--- a/internal/experiment/sound_client.go
+++ b/internal/experiment/sound_client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,6 +21,8 @@
 	pause     time.Duration // between an answer and the next query
 	timeout   time.Duration // of each query
 	reconnect bool          // opens a new connection for each query
+	writeTime time.Duration // over which a query is written, in pieces; 0: at once
+	textBytes int           // size of a query's text; 0: a few bytes
 	name      string        // prefix of the queries' names
 }
 
@@ -81,7 +84,7 @@
 		query := missedQuery{name: fmt.Sprintf("%s-%d-%d", l.name, number, sent), sentAt: time.Now()}
 		conn, query.status = l.ask(conn, query.name, result)
 		query.took = time.Since(query.sentAt)
-		result.add(query, l.timeout)
+		result.add(query, l.timeout+l.writeTime)
 		if conn != nil && (query.status == 0 || conn.closes || l.reconnect) {
 			_ = conn.Close()
 			conn = nil
@@ -107,7 +110,7 @@
 	if conn == nil {
 		return nil, 0
 	}
-	status := conn.query(name, l.timeout)
+	status := conn.query(name, l)
 	if status != 0 || !rested {
 		return conn, status
 	}
@@ -116,7 +119,7 @@
 	if conn = dialSound(l.addr, l.timeout); conn == nil {
 		return nil, 0
 	}
-	return conn, conn.query(name, l.timeout)
+	return conn, conn.query(name, l)
 }
 
 // addResent records that a resting connection has ended without an answer.
@@ -167,13 +170,16 @@
 // soundGiveUp is how long after the timeout of its query a client goes on waiting, to tell late answers from none.
 const soundGiveUp = 2 * time.Second
 
+// queryPieces is the number of pieces in which a query is written that takes a while.
+const queryPieces = 10
+
 // query sends a query and returns the status of its answer, 0 if the connection ended without one.
-func (c *soundConn) query(name string, timeout time.Duration) int {
-	const body = `{"parts":[{"id":0,"w":1}],"expr":"sound"}`
-	_ = c.SetDeadline(time.Now().Add(timeout + soundGiveUp))
-	_, err := fmt.Fprintf(c, "POST /team-lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		name, timeout.Milliseconds(), len(body), body)
-	if err != nil {
+func (c *soundConn) query(name string, l soundLoad) int {
+	_ = c.SetDeadline(time.Now().Add(l.timeout + l.writeTime + soundGiveUp))
+	body := fmt.Sprintf(`{"parts":[{"id":0,"w":1}],"expr":"%s"}`, strings.Repeat("x", max(l.textBytes, 1)))
+	request := fmt.Sprintf("POST /team-lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		name, (l.timeout + l.writeTime).Milliseconds(), len(body), body)
+	if !c.write(request, l.writeTime) {
 		return 0
 	}
 	response, err := http.ReadResponse(c.reader, nil)
@@ -187,3 +193,19 @@
 	c.closes = response.Close
 	return response.StatusCode
 }
+
+// write writes a request over a time and reports whether that succeeded.
+func (c *soundConn) write(request string, over time.Duration) bool {
+	if over == 0 {
+		_, err := io.WriteString(c, request)
+		return err == nil
+	}
+	for piece := range queryPieces {
+		from, to := piece*len(request)/queryPieces, (piece+1)*len(request)/queryPieces
+		if _, err := io.WriteString(c, request[from:to]); err != nil {
+			return false
+		}
+		time.Sleep(over / queryPieces)
+	}
+	return true
+}
--- a/internal/http1/eviction_test.go
+++ b/internal/http1/eviction_test.go
@@ -1,9 +1,14 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -123,3 +128,74 @@
 	c.interrupted <- struct{}{}
 	return c.TCPConn.Close()
 }
+
+// Guards against a request that was read and whose connection is then closed without an answer, on a new connection too:
+// while far more clients connect than there is room for, each request that reaches the handler is answered.
+func TestEvictionAnswersEachRequestRead(t *testing.T) {
+	var served, answered atomic.Int64
+	s, addr := startServer(t, func(context.Context, time.Duration, *Request) *Response {
+		served.Add(1)
+		return &Response{Status: 200}
+	}, 16)
+	var clients sync.WaitGroup
+	for range 64 {
+		clients.Go(func() {
+			for range 20 {
+				conn, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				half := len(sizedRequest) / 2
+				_, _ = io.WriteString(conn, sizedRequest[:half])
+				time.Sleep(time.Millisecond) // another client may connect meanwhile
+				_, _ = io.WriteString(conn, sizedRequest[half:])
+				if res, err := NewReader(conn, 0).Response(); err == nil && res.Status == 200 {
+					answered.Add(1)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	clients.Wait()
+	if served.Load() != answered.Load() || served.Load() == 0 {
+		t.Errorf("%d requests were read, %d answered; counters: %v", served.Load(), answered.Load(), s.Counters)
+	}
+}
+
+// failingListener returns the errors that Linux documents for accept, each before a connection.
+type failingListener struct {
+	net.Listener
+	mu     sync.Mutex
+	errors []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.errors) > 0 {
+		err := l.errors[0]
+		l.errors = l.errors[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// An accept that fails for a moment ends nothing: the server goes on, and counts it.
+func TestServeGoesOnAfterAcceptErrors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failures := []error{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+		syscall.EPERM, syscall.EINTR, syscall.ENETDOWN, syscall.EHOSTUNREACH}
+	s, addr := startServerOn(t, &failingListener{Listener: ln, errors: failures}, answerOK, 9)
+	client, r := dial(t, addr)
+	_, _ = io.WriteString(client, sizedRequest)
+	if res, err := r.Response(); err != nil || res.Status != 200 {
+		t.Errorf("response = %+v, error = %v, want status 200", res, err)
+	}
+	if n := s.Counters.Get("test_accept_failed"); int(n) != len(failures) {
+		t.Errorf("test_accept_failed = %d, want %d", n, len(failures))
+	}
+}
