coordinator, discovery: a step of the wall clock moves no server's start

Cause: discovery tells a start in Unix time, and the core converted it by the wall clock of its own start: after a step back by an hour a server that has just started counted as an hour old and was spared its slow start; after a step forward it stayed cold for an hour, and a start that was told again would have been another one if converted anew. Change: a start is converted by its age on the present wall clock, once; told again, it keeps its time; one in the future is now. Measured: TestStartKeepsItsTimeWhenWallClockIsStepped, TestFromUnixMilliConvertsToCoreClock; the step itself cannot be made for a real process here without privileges, and no run with one was made.

--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -59,13 +59,15 @@
 // concurrent use.
 func (c *Core) Now() time.Duration { return time.Since(c.epoch) }
 
-// FromUnixMilli converts a time in Unix milliseconds to the core's clock. It returns 0, meaning long ago, for a time
-// of 0 or less and for one before the clock's origin.
+// FromUnixMilli converts a past time in Unix milliseconds to the core's clock, by its age on the wall clock as that stands
+// now: the wall clock may have been stepped since the core was created. It returns 0, meaning long ago, for a time of 0 or
+// less and for one before the clock's origin, and the present for a time in the future.
 func (c *Core) FromUnixMilli(unixMS int64) time.Duration {
 	if unixMS <= 0 {
 		return 0
 	}
-	return max(0, time.Duration(unixMS)*time.Millisecond-time.Duration(c.epoch.UnixNano()))
+	age := time.Duration(time.Now().UnixNano()) - time.Duration(unixMS)*time.Millisecond
+	return max(0, c.Now()-max(0, age))
 }
 
 // Run runs the event loop until the context is canceled. The queries that are then open fail.
--- a/internal/coordinator/core_test.go
+++ b/internal/coordinator/core_test.go
@@ -34,6 +34,9 @@
 		if got := core.FromUnixMilli(now.Add(-5 * time.Second).UnixMilli()); got != core.Now()-5*time.Second {
 			t.Errorf("FromUnixMilli(5 s ago) = %v, want %v", got, core.Now()-5*time.Second)
 		}
+		if got := core.FromUnixMilli(now.Add(time.Hour).UnixMilli()); got != core.Now() {
+			t.Errorf("FromUnixMilli(in an hour, as after a step of the wall clock) = %v, want the present, %v", got, core.Now())
+		}
 		if core.FromUnixMilli(0) != 0 || core.FromUnixMilli(now.Add(-100*time.Hour).UnixMilli()) != 0 {
 			t.Errorf("FromUnixMilli(0) = %v and FromUnixMilli(100 h ago) = %v, want 0",
 				core.FromUnixMilli(0), core.FromUnixMilli(now.Add(-100*time.Hour).UnixMilli()))
--- a/internal/discovery/converter.go
+++ b/internal/discovery/converter.go
@@ -17,6 +17,14 @@
 	Zones, Kinds []string                         // the core identifies a zone or kind by its index here
 	Cells        int                              // number of cells; a cell is from 0 to Cells-1
 	ToCoreTime   func(unixMS int64) time.Duration // converts milliseconds of Unix time to the core's clock; required
+
+	starts map[string]serverStart // by server; those of the latest list that named it
+}
+
+// serverStart is when a server's process started.
+type serverStart struct {
+	unixMS int64
+	at     time.Duration // on the core's clock
 }
 
 // Convert converts a list to an update. If an endpoint can't be used, it rejects the whole list with an
@@ -33,9 +41,33 @@
 		}
 		update.Endpoints = append(update.Endpoints, endpoint)
 	}
+	c.rememberStarts(list, update)
 	return update, nil
 }
 
+// startedAt returns when a server's process started, on the core's clock. A start that was told before is not converted
+// again: the wall clock may have been stepped meanwhile, and the same start would seem to be another one.
+func (c *Converter) startedAt(e Endpoint) time.Duration {
+	if known, ok := c.starts[e.ID]; ok && known.unixMS == e.StartedMS {
+		return known.at
+	}
+	return c.ToCoreTime(e.StartedMS)
+}
+
+// rememberStarts remembers the starts of the servers in a list, and forgets those of servers that are gone.
+func (c *Converter) rememberStarts(list EndpointList, update coordinator.EndpointUpdate) {
+	if list.Full || c.starts == nil {
+		c.starts = make(map[string]serverStart, len(list.Endpoints))
+	}
+	for i, e := range list.Endpoints {
+		if update.Endpoints[i].State == routing.Removed {
+			delete(c.starts, e.ID)
+			continue
+		}
+		c.starts[e.ID] = serverStart{e.StartedMS, update.Endpoints[i].StartedAt}
+	}
+}
+
 func (c *Converter) convertEndpoint(e Endpoint) (coordinator.Endpoint, error) {
 	state, known := endpointStates[e.State]
 	if !known || e.ID == "" || e.Cell < 0 || e.Cell >= c.Cells || math.IsNaN(e.Weight) || e.Weight < 0 {
@@ -51,7 +83,7 @@
 		Cell:      e.Cell,
 		State:     state,
 		Weight:    e.Weight,
-		StartedAt: c.ToCoreTime(e.StartedMS),
+		StartedAt: c.startedAt(e),
 	}}, nil
 }
 
--- a/internal/discovery/converter_test.go
+++ b/internal/discovery/converter_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -51,3 +52,31 @@
 		}
 	})
 }
+
+// Guards against a step of the wall clock that makes servers seem to have restarted: a start that was told before keeps
+// its time on the core's clock, and a new one is converted by the wall clock as it stands.
+func TestStartKeepsItsTimeWhenWallClockIsStepped(t *testing.T) {
+	converter, step := newTestConverter(), time.Duration(0)
+	converter.ToCoreTime = func(unixMS int64) time.Duration { return time.Duration(unixMS)*time.Millisecond + step }
+	startedAt := func(full bool, unixMS int64) time.Duration {
+		t.Helper()
+		update, err := converter.Convert(EndpointList{Full: full, Endpoints: []Endpoint{
+			{ID: "s-1", Addr: "127.0.0.1:9", State: StateInService, StartedMS: unixMS}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return update.Endpoints[0].StartedAt
+	}
+	if got := startedAt(true, 5000); got != 5*time.Second {
+		t.Errorf("StartedAt = %v, want 5s", got)
+	}
+	step = time.Hour
+	for _, full := range []bool{true, false, true} {
+		if got := startedAt(full, 5000); got != 5*time.Second {
+			t.Errorf("StartedAt after a step = %v, want 5s as before", got)
+		}
+	}
+	if got := startedAt(false, 9000); got != time.Hour+9*time.Second {
+		t.Errorf("StartedAt of another start = %v, want 1h0m9s", got)
+	}
+}
