--- a/internal/coordinator/attempts.go
+++ b/internal/coordinator/attempts.go
@@ -119,6 +119,20 @@
 	c.events = append(c.events, replacements...)
 }
 
+// countHeld reports the size of a value that is kept until the query ends.
+func (q *query) countHeld(result Result) {
+	if q.Held == nil {
+		return
+	}
+	size := len(result.Value)
+	if result.Hits != nil {
+		for _, hit := range result.Hits.List {
+			size += len(hit.ID) + len(hit.Source)
+		}
+	}
+	q.Held(int64(size))
+}
+
 // recordResult records an attempt's result in its part.
 func (c *Core) recordResult(p *part, result Result) {
 	if !p.answered {
@@ -130,6 +144,7 @@
 			c.countClass("retries_won", p.query.Class)
 		}
 		p.answered = true
+		p.query.countHeld(result)
 		p.value = Value{Shard: p.Shard, Request: p.Request, Data: result.Value, Score: result.Score, Hits: result.Hits}
 	}
 	if p.needsAnswer() && p.inFlight == 0 && c.queries[p.query.id] != nil {
--- a/internal/coordinator/query.go
+++ b/internal/coordinator/query.go
@@ -45,6 +45,9 @@
 	// Body replaces the Payload of every part if the body is kept in a store; nil if there is none. The core releases
 	// it when the query is answered.
 	Body Body
+	// Held is called with the size in bytes of each value that is kept until the query ends; nil if nobody counts them.
+	// It is called on the core's goroutine and must not block.
+	Held func(bytes int64)
 	// Reply receives the final answer. It is called exactly once, on the core's goroutine, and must not block. If the
 	// core has already stopped, Submit calls it on its caller's goroutine.
 	Reply func(Answer)
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -38,6 +38,10 @@
 // comes later by as much.
 func (r *Request) Charge(cost time.Duration) { r.flow.Charge(cost) }
 
+// Hold adds bytes that are kept until the response is written, such as values that it is made of, to what the
+// connection holds.
+func (r *Request) Hold(bytes int64) { r.account.Force(bytes) }
+
 // ReleaseBody drops the body, whose content is now kept elsewhere or is not needed any more.
 func (r *Request) ReleaseBody() {
 	r.Body = nil
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -21,8 +21,8 @@
 	if err != nil {
 		return f.reject(err)
 	}
-	query.StartedAt = startedAt
-	answer := f.await(ctx, query)
+	query.StartedAt, query.Held = startedAt, req.Hold
+	answer := coordinator.Await(ctx, f.Core.Submit, query)
 	req.Charge(time.Duration(len(answer.Values)+len(answer.Missing)) * costPerPart)
 	req.Work(func() { res = encodeAnswer(s, answer, (f.Core.Now() - startedAt).Milliseconds()) })
 	return res
@@ -58,20 +58,6 @@
 	}, nil
 }
 
-// await submits a query and waits for its answer. The core also answers a query that was canceled through ctx.
-func (f *Front) await(ctx context.Context, query coordinator.Query) coordinator.Answer {
-	answers := make(chan coordinator.Answer, 1) // buffered: the core's event loop never waits for this goroutine
-	query.Reply = func(a coordinator.Answer) { answers <- a }
-	cancel := f.Core.Submit(query)
-	select {
-	case a := <-answers:
-		return a
-	case <-ctx.Done():
-		cancel()
-		return <-answers
-	}
-}
-
 // parts returns one part of equal weight for each fixed shard of a search. It returns none for a search of key
 // ranges, which the core divides into parts itself.
 func (s *searchRequest) parts(payload []byte) []coordinator.Part {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -71,8 +71,8 @@
 	if query.Body != nil {
 		req.ReleaseBody()
 	}
-	query.StartedAt = startedAt
-	answer := f.await(ctx, query)
+	query.StartedAt, query.Held = startedAt, req.Hold
+	answer := coordinator.Await(ctx, f.Core.Submit, query)
 	if ctx.Err() == nil || !mayHaveRun(answer) {
 		name.Release()
 	}
@@ -118,21 +118,6 @@
 	return res
 }
 
-// await submits a query and waits for its answer. If ctx is canceled, it cancels the query and still waits for the
-// answer, which the core gives to canceled queries too.
-func (f *Front) await(ctx context.Context, query coordinator.Query) coordinator.Answer {
-	answers := make(chan coordinator.Answer, 1) // buffered, so that Reply never blocks the core's event loop
-	query.Reply = func(a coordinator.Answer) { answers <- a }
-	cancel := f.Core.Submit(query)
-	select {
-	case a := <-answers:
-		return a
-	case <-ctx.Done():
-		cancel()
-		return <-answers
-	}
-}
-
 // storePayload moves the query's payload to the body store if it is larger than bodystore.InlineLimit. It returns false
 // if the store has no capacity.
 func (f *Front) storePayload(q *coordinator.Query) bool {
--- a/internal/platform/request_golden_test.go
+++ b/internal/platform/request_golden_test.go
@@ -51,7 +51,7 @@
 				t.Fatalf("%d queries reached the core, want 1", len(c.queries))
 			}
 			got := c.queries[0]
-			got.Reply = nil // a function, which cannot be compared
+			got.Reply, got.Held = nil, nil // functions, which cannot be compared
 			if !reflect.DeepEqual(got, want) {
 				t.Errorf("got  %+v\nwant %+v", got, want)
 			}
