http1: choosing a connection to evict asks the socket four times at most

Cause: for each accept, all connections were scanned anew after each one for which a request had arrived; with 248 of them not yet served that is 248 scans and system calls under the server's lock, so that none of them came to be served. Change: the candidates are sorted once, and four sockets are asked at most.

--- a/internal/http1/eviction.go
+++ b/internal/http1/eviction.go
@@ -58,30 +58,43 @@
 	return unserved >= s.MaxConns/crowdedShare
 }
 
+// maxUnreadChecks is how many connections are asked for one victim whether a request has arrived for them.
+const maxUnreadChecks = 4
+
+// evictionCandidate is a connection that may be evicted.
+type evictionCandidate struct {
+	conn *conn
+	rank evictionRank
+}
+
+// compareCandidates orders candidates by rank, the highest first, and then by how long they have been in their state.
+func compareCandidates(a, b evictionCandidate) int {
+	return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.conn.stateSince, b.conn.stateSince))
+}
+
 // evictionVictim returns the connection with the highest rank; among equal ranks, the one that has been in its state
-// for the longest time. A connection for which a request has arrived is left out. evictionVictim returns nil if no
-// connection is evictable. s.mu must be held.
+// for the longest time. A connection for which a request has arrived is left out; if several are, so are all others that
+// wait for a request. evictionVictim returns nil if no connection is evictable. s.mu must be held.
 func (s *Server) evictionVictim() (victim *conn, rank evictionRank) {
 	now := s.Clock.Now()
-	var arrived map[*conn]bool // connections that are left out
-	for {
-		victim, rank = nil, rankNotEvictable
-		for c := range s.conns {
-			r := evictionRankOf(c, now)
-			if r > rank || r == rank && victim != nil && c.stateSince < victim.stateSince {
-				if !arrived[c] {
-					victim, rank = c, r
-				}
-			}
+	candidates := make([]evictionCandidate, 0, len(s.conns))
+	for c := range s.conns {
+		if rank := evictionRankOf(c, now); rank > rankNotEvictable {
+			candidates = append(candidates, evictionCandidate{c, rank})
 		}
-		if victim == nil || !victim.state.awaitsRequest() || !victim.hasUnreadBytes() {
-			return victim, rank
+	}
+	slices.SortFunc(candidates, compareCandidates)
+	checks := 0
+	for _, candidate := range candidates {
+		if !candidate.conn.state.awaitsRequest() {
+			return candidate.conn, candidate.rank
 		}
-		if arrived == nil {
-			arrived = map[*conn]bool{}
+		if checks < maxUnreadChecks && !candidate.conn.hasUnreadBytes() {
+			return candidate.conn, candidate.rank
 		}
-		arrived[victim] = true
+		checks++
 	}
+	return nil, rankNotEvictable
 }
 
 // evictOneOf evicts the connection that evictionVictim returns, and reports whether there is one with at least the given
