http1, membudget: a request that arrives as it is to be shed leaves no trace on its connection

Found by reading the change once more. Cause: the marks of a shed request and of an aborted wait stayed on the account when the request was served after all, so that each later request above 4 KiB of that connection got 503; the interrupt could also meet the next state and end the watch for a disconnect. Change: the marks end with the request, and only a request that is still arriving is interrupted. Measured: TestNextRequestGrowsAfterAbort fails without the change (ErrShed).

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -146,8 +146,12 @@
 // openAccount opens the memory account of a connection. It returns false if there is no memory for it.
 func (s *Server) openAccount(c *conn) (ok bool) {
 	shed := func() {
-		s.count("shed_memory")
-		c.interruptRead()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if c.state == stateReading { // otherwise the request has arrived meanwhile
+			s.count("shed_memory")
+			c.interruptRead()
+		}
 	}
 	c.readAhead.account, ok = s.Memory.Open(connBytes, requestAllowance, shed)
 	return ok
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -211,7 +211,8 @@
 	return victim
 }
 
-// Abort ends a wait in Grow, and all later ones: the connection is about to be closed. The error of Grow is ErrShed.
+// Abort ends a wait in Grow, and all later ones until Reset: the connection is about to be closed. The error of Grow is
+// ErrShed.
 func (a *Account) Abort() {
 	if a == nil {
 		return
@@ -233,7 +234,7 @@
 	a.hold(n)
 }
 
-// Reset returns all bytes of the request to the budget; the connection's own remain.
+// Reset returns all bytes of the request to the budget; the connection's own remain. The next request may grow again.
 func (a *Account) Reset() {
 	if a == nil {
 		return
@@ -253,6 +254,7 @@
 	}
 	a.hold(-a.held)
 	a.spare = a.allowance
+	a.shedding, a.aborted = false, false
 }
 
 // Close returns all bytes of the account to the budget. Further calls have no effect.
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -162,6 +162,20 @@
 	})
 }
 
+// A request may arrive completely just as it is to be shed or its connection to be closed. It is served then, and the next
+// request of the connection grows as any other.
+func TestNextRequestGrowsAfterAbort(t *testing.T) {
+	b := New(1000)
+	a := open(t, b, nil)
+	a.Receiving()
+	a.Abort()
+	a.Received()
+	a.Reset()
+	if err := a.Grow(testAllowance + 10); err != nil || a.WasShed() {
+		t.Errorf("Grow of the next request: error = %v, want none", err)
+	}
+}
+
 // A lower limit takes effect at once: nothing grows until enough is returned.
 func TestLowerLimitHoldsGrowthBack(t *testing.T) {
 	b := New(1000)
