--- a/review/stand-2/case_gone.go
+++ b/review/stand-2/case_gone.go
@@ -15,7 +15,7 @@
 // goneAfterRestart lets the operators add a league server, which discovery lists like any other, until it drains: then
 // whole lists leave it out, while it still answers. After that a coordinator dies and comes back.
 func goneAfterRestart(r *record, trouble bool) (held bool, err error) {
-	f, err := newFleet(r, fleetOptions{})
+	f, err := newFleet(r, false)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/case_removed.go
+++ b/review/stand-2/case_removed.go
@@ -18,7 +18,7 @@
 // removedBehindCut removes a league server at n1 while the data centre of n3 is cut off from the others, and looks at
 // what the server gets once n3 has been told.
 func removedBehindCut(r *record, trouble bool) (held bool, err error) {
-	f, err := newFleet(r, fleetOptions{})
+	f, err := newFleet(r, false)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/case_upgrade.go
+++ b/review/stand-2/case_upgrade.go
@@ -19,7 +19,7 @@
 // upgradeForgetsDrain drains a league server in the store and then brings up a new version of a coordinator beside the
 // old one, as the platform does.
 func upgradeForgetsDrain(r *record, trouble bool) (held bool, err error) {
-	f, err := newFleet(r, fleetOptions{platformHoldsSocket: true})
+	f, err := newFleet(r, true)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -117,11 +117,11 @@
 }
 
 // storeFile returns an operators' file with a search front, the operators' API and the store. members has the Raft and
-// HTTP addresses of the instances as this one reaches them; one that joins lists itself alone.
-func (c *coordinator) storeFile(members []member, joins bool) string {
+// HTTP addresses of the instances as this one reaches them.
+func (c *coordinator) storeFile(members []member) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "listen = %q\n[operator]\nsocket = %q\n[store]\nid = %q\ndir = %q\njoin = %t\n", c.search, c.socket,
-		c.name, filepath.Join(c.dir, "store"), joins)
+	fmt.Fprintf(&b, "listen = %q\n[operator]\nsocket = %q\n[store]\nid = %q\ndir = %q\n", c.search, c.socket,
+		c.name, filepath.Join(c.dir, "store"))
 	for _, m := range members {
 		fmt.Fprintf(&b, "[[store.members]]\nid = %q\nraft = %q\nhttp = %q\n", m.id, m.raft, m.http)
 	}
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -21,47 +21,26 @@
 	asking  sync.WaitGroup
 }
 
-// fleetOptions are what the cases need beside three coordinators.
-type fleetOptions struct {
-	platformHoldsSocket bool // n1 takes its clients at a socket that the platform holds
-	fourth              bool // there is a fourth coordinator, in the data centre of n1
-	joins               bool // the fourth joins while the others run; otherwise it is in all files from the start
-}
-
 // newFleet starts the deployment. What the data centre rose-hill shares with the others goes over links that can be cut.
-func newFleet(r *record, o fleetOptions) (*storeFleet, error) {
+// If the platform holds the socket of n1's clients, n1 takes them there.
+func newFleet(r *record, platformHoldsSocket bool) (*storeFleet, error) {
 	f := &storeFleet{}
 	for cell := range cellCount {
 		for _, zone := range zones {
 			f.servers = append(f.servers, newLeagueServer(r, fmt.Sprintf("s-%d%s", cell, zone[:1]), zone, cell, 60*time.Millisecond))
 		}
 	}
-	count := len(zones)
-	if o.fourth {
-		count++
-	}
-	for i := range count {
-		zone := i % len(zones)
-		node, err := newCoordinator(r, fmt.Sprintf("n%d", i+1), zone, newAgent(r, fmt.Sprintf("n%d", i+1), f.listFor(zone)))
+	for zone := range zones {
+		name := fmt.Sprintf("n%d", zone+1)
+		node, err := newCoordinator(r, name, zone, newAgent(r, name, f.listFor(zone)))
 		if err != nil {
 			return nil, err
 		}
 		f.nodes = append(f.nodes, node)
 	}
-	atStart := f.nodes
-	if o.joins {
-		last := f.nodes[count-1]
-		atStart = f.nodes[:count-1]
-		last.operatorsFile = last.storeFile([]member{{last.name, last.raft, last.search}}, true)
-	}
-	if err := f.start(atStart, o.platformHoldsSocket); err != nil {
+	if err := f.start(platformHoldsSocket); err != nil {
 		return nil, err
 	}
-	if o.joins {
-		if err := f.join(f.nodes[count-1]); err != nil {
-			return nil, err
-		}
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	for _, node := range f.nodes {
@@ -70,15 +49,15 @@
 	return f, nil
 }
 
-// start starts coordinators that list each other as the members of the store.
-func (f *storeFleet) start(nodes []*coordinator, platformHoldsSocket bool) (err error) {
-	for i, node := range nodes {
+// start starts the coordinators, which list each other as the members of the store.
+func (f *storeFleet) start(platformHoldsSocket bool) (err error) {
+	for i, node := range f.nodes {
 		var members []member
-		for _, other := range nodes {
+		for _, other := range f.nodes {
 			members = append(members, member{other.name, f.reach(node.zone, other.zone, other.raft),
 				f.reach(node.zone, other.zone, other.search)})
 		}
-		node.operatorsFile = node.storeFile(members, false)
+		node.operatorsFile = node.storeFile(members)
 		var socket *os.File
 		if i == 0 && platformHoldsSocket {
 			if socket, err = node.platformSocket(); err != nil {
@@ -90,12 +69,12 @@
 			return err
 		}
 	}
-	for _, node := range nodes {
+	for _, node := range f.nodes {
 		if err := awaitReady("http://"+node.listen+"/health/ready", 15*time.Second); err != nil {
 			return err
 		}
 	}
-	return nodes[0].awaitOrder(15*time.Second, "store", "leader")
+	return f.nodes[0].awaitOrder(15*time.Second, "store", "leader")
 }
 
 // reach returns the address of something in zone to, as zone from reaches it.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -16,11 +16,11 @@
 
 // cases are the cases by name. Each reports whether the rule held, or an error if it could not be played.
 var cases = map[string]func(*record, bool) (held bool, err error){
-	"second-copy":                   secondCopy,
-	"removed-behind-a-cut":          removedBehindCut,
-	"upgrade-forgets-drain":         upgradeForgetsDrain,
-	"gone-after-a-restart":          goneAfterRestart,
-	"drain-at-a-joined-coordinator": drainAtJoined,
+	"unusable-layout":       unusableLayout,
+	"second-copy":           secondCopy,
+	"removed-behind-a-cut":  removedBehindCut,
+	"upgrade-forgets-drain": upgradeForgetsDrain,
+	"gone-after-a-restart":  goneAfterRestart,
 }
 
 func main() {
--- a/review/stand-2/record.go
+++ b/review/stand-2/record.go
@@ -27,9 +27,6 @@
 	return &record{began: time.Now(), file: file, out: bufio.NewWriter(file)}, nil
 }
 
-// at returns the seconds from the start of the case to a time.
-func (r *record) at(t time.Time) float64 { return t.Sub(r.began).Seconds() }
-
 // note writes a line to the record.
 func (r *record) note(format string, args ...any) {
 	r.mu.Lock()
