--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build-2.sh.
 here=$(cd "$(dirname "$0")" && pwd) && cd "$here/../.." || exit 2
 [ -x bin/linkpass ] && [ -x bin/review-2 ] || { echo "run the build of the deploy file and review/build-2.sh first"; exit 2; }
-exec bin/review-2 gone-after-a-restart "$here"
+exec bin/review-2 upgrade-forgets-drain "$here"
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -22,25 +22,31 @@
 var zones = []string{"ebene", "port-louis", "rose-hill"}
 
 // platformSettings returns the settings of a coordinator in a zone, with the figures of the operators' pages.
-func platformSettings(zone, coordinators int) map[string]any {
-	class := func(name string, aim, limit, importance, late float64) map[string]any {
+func platformSettings(zone, coordinators int, singleShot bool) map[string]any {
+	class := func(name, repeats string, aim, limit, importance, late float64) map[string]any {
 		return map[string]any{"name": name, "aim": aim, "hard_limit": limit, "dedup_window": 5000, "group": "all",
-			"idempotency": "free", "importance": importance, "late_share": late, "stream": false}
+			"idempotency": repeats, "importance": importance, "late_share": late, "stream": false}
+	}
+	attempts := 3
+	classes := []any{class("league-table", "free", 2000, 5000, 3, 0.3), class("team-lookup", "free", 1000, 2500, 1, 0)}
+	if singleShot { // as at the second site: no copies, and a cancel stops nothing
+		attempts = 4
+		classes = []any{class("routing-lookup", "free", 1500, 3000, 1, 0.3), class("port-request", "single_shot", 1500, 5000, 2, 0.1)}
 	}
 	return map[string]any{
 		"az": zone, "dcs": zones, "kinds": []string{"std-2core"}, "membership_mode": "automatic", "tick": 5,
 		"peers_total": coordinators, "ordinal": zone, "tenants": []string{}, "weight_source": "rough", "worth_by": "work",
 		"stage": 0, "tiers": []string{"league-store"}, "workload": "fanout", "over_share_worth": 0.1,
-		"bounds": map[string]any{"cancel": true, "connect_timeout": 250, "cpu_us_per_s": 400000, "keepalive": 30000,
-			"max_attempts": 3, "max_open": 160, "max_retry_after": 1000, "max_streams": 32, "peer_messages": false,
-			"probes": true, "retry_after": true, "second_copies": true},
+		"bounds": map[string]any{"cancel": !singleShot, "connect_timeout": 250, "cpu_us_per_s": 400000, "keepalive": 30000,
+			"max_attempts": attempts, "max_open": 160, "max_retry_after": 1000, "max_streams": 32, "peer_messages": false,
+			"probes": true, "retry_after": true, "second_copies": !singleShot},
 		"clients": map[string]any{"marks_retry": true},
 		"extra": map[string]any{"call": 0, "class_fetch": []int{0, 0}, "class_need": []float64{1, 1}, "in_a_row": 1,
 			"least_share": []float64{1, 1}, "partial_earns": []float64{0.9, 0.9}, "parts_a_call": 1, "places": cellCount,
 			"slabs": shardCount, "warm_keys": false},
 		"penalties":       map[string]any{"cross_zone": 0.045, "probe": 0.01, "waste": 0.096, "late_fail": 0.08},
 		"report":          map[string]any{"fields": []string{"active", "avg_ms", "waiting"}, "how": "inline"},
-		"request_classes": []any{class("league-table", 2000, 5000, 3, 0.3), class("team-lookup", 1000, 2500, 1, 0)},
+		"request_classes": classes,
 		"rules": map[string]any{"answer_slack": 20, "ask_within": 10000, "cold": 18000, "cold_from": 0.17,
 			"drain_grace": 1000, "fall_multiple": 2, "tip_after": 3000},
 	}
@@ -56,6 +62,7 @@
 	dir                            string // of its files; TMPDIR lies in it
 	listen, operator, search, raft string // its addresses
 	socket                         string // of the operators' API
+	singleShot                     bool   // one of its classes may not run twice
 	operatorsFile                  string // text of the file that is passed with -opensearch
 
 	client  *clientPool
@@ -87,7 +94,7 @@
 		"name": c.name, "listen": c.listen, "discovery": c.agent.addr(), "operator": operator,
 		"seed":   fmt.Sprintf("%x", time.Now().UnixNano()),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  known, "settings": platformSettings(c.zone, coordinators),
+		"known":  known, "settings": platformSettings(c.zone, coordinators, c.singleShot),
 	})
 	if err != nil {
 		return nil, err
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -18,9 +18,9 @@
 var cases = map[string]func(*record, bool) (held bool, err error){
 	"unusable-layout":       unusableLayout,
 	"second-copy":           secondCopy,
+	"refused-after-it-ran":  refusedAfterItRan,
 	"removed-behind-a-cut":  removedBehindCut,
 	"upgrade-forgets-drain": upgradeForgetsDrain,
-	"gone-after-a-restart":  goneAfterRestart,
 }
 
 func main() {
--- a/review/stand-2/platform.go
+++ b/review/stand-2/platform.go
@@ -58,15 +58,6 @@
 	return a.list
 }
 
-// set replaces the list. Open watches are answered with the whole list.
-func (a *agent) set(servers []listed) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.list = list{Version: a.list.Version + 1, Full: true, Servers: servers}
-	close(a.changed)
-	a.changed = make(chan struct{})
-}
-
 func (a *agent) serve(w http.ResponseWriter, req *http.Request) {
 	after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
 	waitMS, _ := strconv.Atoi(req.URL.Query().Get("wait_ms"))
--- a/review/stand-2/search.go
+++ b/review/stand-2/search.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +31,35 @@
 	cores      chan struct{}
 	answers    atomic.Int64
 	copied     atomic.Int64
+
+	mu      sync.Mutex
+	failing float64        // share of the parts that are answered with 500 after they have run
+	ran     map[string]int // how often the search for each name has run
+}
+
+// setFailing sets the share of the parts that fail.
+func (s *searchServer) setFailing(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = share
+}
+
+// runs returns how often the search for each name has run here.
+func (s *searchServer) runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.ran)
+}
+
+// run counts a run, and reports whether it fails.
+func (s *searchServer) run(name string) (fails bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ran == nil {
+		s.ran = map[string]int{}
+	}
+	s.ran[name]++
+	return rand.Float64() < s.failing
 }
 
 func newSearchServer(r *record, s *searchServer) *searchServer {
@@ -150,6 +181,10 @@
 	time.Sleep(s.work)
 	<-s.cores
 	s.answers.Add(1)
+	if s.run(asked.Query.Match.Name) {
+		s.record.note("%s has run a part of %s, and answers 500", s.name, asked.Query.Match.Name)
+		return []byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+	}
 	var hits []string
 	for i := range s.hits {
 		hits = append(hits, fmt.Sprintf(`{"_index":"players","_id":"%s-%s-%d","_score":%g,"_source":{"name":%q,"bio":%q}}`,
