--- a/review/stand-2/case_upgrade.go
+++ b/review/stand-2/case_upgrade.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"syscall"
 	"time"
@@ -14,6 +15,8 @@
 	// newsGrace is how long after the yes of a new process news from discovery counts as told. A drain in the store is
 	// given the same here.
 	newsGrace = 2 * time.Second
+	// newClientRate is how many clients a second come new to the coordinator meanwhile, beside those that stay.
+	newClientRate = 6
 )
 
 // upgradeForgetsDrain drains a league server in the store and then brings up a new version of a coordinator beside the
@@ -32,6 +35,9 @@
 	time.Sleep(4 * time.Second)
 	r.say("parts at %s from %s to 4 s after the drain: %d", drained.name, drainGrace+socketSlack,
 		len(drained.arrivalsAfter(told.Add(drainGrace+socketSlack))))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go n1.client.newOnes().run(ctx, newClientRate)
 	if trouble {
 		if told, err = f.upgrade(r, n1); err != nil {
 			return false, err
--- a/review/stand-2/clients.go
+++ b/review/stand-2/clients.go
@@ -45,6 +45,13 @@
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second}}}
 }
 
+// newOnes returns a pool of clients that ask once: each query comes on a new connection.
+func (p *clientPool) newOnes() *clientPool {
+	out := newClientPool(p.record, p.coordinator)
+	out.http.Transport = &http.Transport{DisableKeepAlives: true}
+	return out
+}
+
 // run sends queries at a rate until the context ends, and waits for the answers.
 func (p *clientPool) run(ctx context.Context, perSecond float64) {
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))
