--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -60,7 +60,7 @@
 	if err := decMode.Unmarshal(data[1:], &d); err != nil {
 		return nil, fmt.Errorf("config: decode snapshot: %w", err)
 	}
-	settings, err := searchconfig.Parse(d.Settings)
+	settings, err := searchconfig.ParseStored(d.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("config: decode settings of snapshot: %w", err)
 	}
--- a/internal/dashboard/page.go
+++ b/internal/dashboard/page.go
@@ -106,15 +106,23 @@
 	for _, m := range maps {
 		p.Indices = append(p.Indices, newIndexRow(m))
 		for _, plan := range m.Plans[:min(len(m.Plans), maxRows-len(p.Plans))] {
-			keys := plan.Range()
 			p.Plans = append(p.Plans, planRow{
 				Index:     m.Index,
 				ID:        plan.ID,
 				Kind:      string(plan.Kind),
 				Step:      string(plan.Step),
-				Range:     fmt.Sprintf("%016x–%016x", keys.First, keys.Last),
+				Range:     rangeText(plan),
 				StepsDone: max(0, slices.Index(planSteps, plan.Step)),
 			})
 		}
 	}
 }
+
+// rangeText formats the range of keys that a plan changes; it is empty if the plan names no old shards.
+func rangeText(plan shardmap.Plan) string {
+	keys, ok := plan.Range()
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf("%016x–%016x", keys.First, keys.Last)
+}
--- a/internal/searchconfig/config_test.go
+++ b/internal/searchconfig/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -156,3 +157,15 @@
 		t.Run(name, func(t *testing.T) { mustReject(t, parsed, patch) })
 	}
 }
+
+// Guards against a key of many elements that ends the process by a stack overflow: it is rejected with the text that the
+// whole document gives where the stack suffices, as the text is replicated.
+func TestPatchRejectsDeepDottedKey(t *testing.T) {
+	const tooDeep = "invalid settings: invalid character '{' exceeded max depth"
+	for _, elements := range []int{maxNestedObjects + 1, maxNestedObjects + 2, 2 * maxNestedObjects, 500_000} {
+		_, err := (&Config{}).Patch([]byte(`{"` + strings.Repeat("a.", elements-1) + `a":1}`))
+		if err == nil || err.Error() != tooDeep {
+			t.Errorf("key of %d elements: error = %v, want %s", elements, err, tooDeep)
+		}
+	}
+}
--- a/internal/searchconfig/parse.go
+++ b/internal/searchconfig/parse.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"linkpass/internal/shardmap"
 )
 
 // Parse parses and validates a complete document. Unknown keys are rejected with
@@ -28,6 +30,22 @@
 	return c, nil
 }
 
+// ParseStored parses a complete document that was written from the settings in force, such as that of a snapshot. It
+// does not validate it: the settings in force may stem from an earlier version of the program that accepted more.
+func ParseStored(data []byte) (*Config, error) {
+	c := &Config{}
+	if err := decode(data, c, true); err != nil {
+		return nil, err
+	}
+	c.shardMaps = map[string]*shardmap.Map{}
+	for name, index := range c.Indices {
+		if index.ShardMap != nil {
+			c.shardMaps[name] = index.ShardMap.StoredMap()
+		}
+	}
+	return c, nil
+}
+
 // decode decodes exactly one JSON value. If strict is set, unknown keys are rejected.
 func decode(data []byte, target any, strict bool) error {
 	d := json.NewDecoder(bytes.NewReader(data))
--- a/internal/searchconfig/patch.go
+++ b/internal/searchconfig/patch.go
@@ -8,6 +8,9 @@
 	"strings"
 )
 
+// maxNestedObjects is how deep encoding/json reads objects in objects.
+const maxNestedObjects = 10000
+
 // Patch returns the document after a JSON merge patch (RFC 7396). A dotted key at the top
 // level of the patch is expanded to nested objects. The receiver is not changed.
 func (c *Config) Patch(patch []byte) (*Config, error) {
@@ -54,9 +57,11 @@
 	return tree, nil
 }
 
-// expandDottedKey turns a key such as a.b.c and its value into nested objects.
+// expandDottedKey turns a key such as a.b.c and its value into nested objects. It leaves out elements that are too deep
+// to be read anyway, because each of them would take space on the stack.
 func expandDottedKey(key string, value any) map[string]any {
 	path := strings.Split(key, ".")
+	path = path[:min(len(path), maxNestedObjects+1)]
 	for _, element := range slices.Backward(path[1:]) {
 		value = map[string]any{element: value}
 	}
--- a/internal/searchconfig/validate.go
+++ b/internal/searchconfig/validate.go
@@ -10,13 +10,16 @@
 // maxNameBytes is OpenSearch's limit on the length of an index name.
 const maxNameBytes = 255
 
-// Validate checks the document and builds its shard maps; its errors wrap ErrInvalid. The
-// result depends on the document alone, so all instances get the same result.
+// Validate checks the document of an instance's own file and builds its shard maps; its errors
+// wrap ErrInvalid. The file may be proposed as the first replicated document.
 func (c *Config) Validate() error {
 	if err := c.validateFields(); err != nil {
 		return err
 	}
-	return c.loadShardMaps(nil)
+	if err := c.loadShardMaps(nil); err != nil {
+		return err
+	}
+	return c.CheckProposal(&Config{})
 }
 
 // validateFields checks everything except the contents of the shard maps. It visits names
--- a/internal/shardmap/advance_plan.go
+++ b/internal/shardmap/advance_plan.go
@@ -54,6 +54,10 @@
 // switchShards replaces the old shards of a plan with its new ones among the serving shards of m, which must be
 // a copy made by next. It checks that the plan's range is still covered.
 func (m *Map) switchShards(p Plan) error {
+	keys, ok := p.Range()
+	if !ok {
+		return fmt.Errorf("%w: plan %d names no slices to replace", ErrInvalidRequest, p.ID)
+	}
 	for _, s := range p.From {
 		m.remove(s)
 	}
@@ -61,7 +65,7 @@
 		p.To[i].Epoch = m.version
 		m.insert(p.To[i])
 	}
-	return m.validateCoverage(p.Range())
+	return m.validateCoverage(keys)
 }
 
 // restrictReplicas returns copies of the shards that keep only the replicas listed in complete for their id. It
--- a/internal/shardmap/document.go
+++ b/internal/shardmap/document.go
@@ -51,6 +51,22 @@
 	if len(d.Shards) > MaxShards || len(d.Plans) > MaxOpenPlans || len(d.History) > MaxPlanHistory {
 		return nil, fmt.Errorf("%w: %d slices, %d plans", ErrLimitExceeded, len(d.Shards), len(d.Plans))
 	}
+	out := d.build(earlier)
+	if out.serving.Len() != len(d.Shards) || out.firstByID.Len() != len(d.Shards) {
+		return nil, fmt.Errorf("%w: two slices share an id or a first key", ErrDuplicateID)
+	}
+	if err := out.Validate(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// StoredMap builds the shard map of a document that was written from a map in force, without validating it: earlier
+// versions of the program may have carried out a malformed plan, and the map in force must be readable all the same.
+func (d Document) StoredMap() *Map { return d.build(nil) }
+
+// build builds the shard map of a document. Shards that are the same in an earlier version share memory with it.
+func (d Document) build(earlier *Map) *Map {
 	out := d.copyRetained(earlier)
 	out.version = max(1, d.Version)
 	out.nextShardID = max(FirstDynamicID, d.NextShard)
@@ -67,13 +83,7 @@
 			out.insert(s)
 		}
 	}
-	if out.serving.Len() != len(d.Shards) || out.firstByID.Len() != len(d.Shards) {
-		return nil, fmt.Errorf("%w: two slices share an id or a first key", ErrDuplicateID)
-	}
-	if err := out.Validate(); err != nil {
-		return nil, err
-	}
-	return out, nil
+	return out
 }
 
 // copyRetained returns a copy of an earlier version without the shards that are not in the document, or an empty map
--- a/internal/shardmap/open_plan.go
+++ b/internal/shardmap/open_plan.go
@@ -16,10 +16,8 @@
 		return nil, err
 	}
 	p := Plan{ID: m.nextPlanID, Kind: req.Kind, Step: Planned, From: from, Version: m.version + 1}
-	for _, other := range m.plans {
-		if other.overlaps(p.Range()) {
-			return nil, fmt.Errorf("%w: plan %d is at %s", ErrPlanOverlap, other.ID, other.Range())
-		}
+	if err := m.checkOverlap(p); err != nil {
+		return nil, err
 	}
 	p.To, err = targetShards(req, p, m.nextShardID)
 	if err != nil {
@@ -35,13 +33,32 @@
 	return out, nil
 }
 
+// checkOverlap checks that a new plan changes no key that an open plan changes. While a plan without old shards is open,
+// no other can be opened: earlier versions of the program cannot compare the two.
+func (m *Map) checkOverlap(p Plan) error {
+	for _, other := range m.plans {
+		keys, ok := other.Range()
+		if !ok {
+			return fmt.Errorf("%w: plan %d names no slices; abandon it first", ErrInvalidRequest, other.ID)
+		}
+		if other.overlaps(p) {
+			return fmt.Errorf("%w: plan %d is at %s", ErrPlanOverlap, other.ID, keys)
+		}
+	}
+	return nil
+}
+
 // targetShards returns the new shards that replace the old ones of plan p, with ids from firstID on.
 func targetShards(req PlanRequest, p Plan, firstID ShardID) ([]Shard, error) {
-	ranges := []Range{p.Range()}
+	keys, ok := p.Range()
+	if !ok {
+		return nil, fmt.Errorf("%w: no slices are named", ErrInvalidRequest)
+	}
+	ranges := []Range{keys}
 	if req.Kind == Split {
-		ranges = p.Range().Split(req.Pieces)
+		ranges = keys.Split(req.Pieces)
 		if ranges == nil {
-			return nil, fmt.Errorf("%w: %s has too few keys for %d slices", ErrInvalidRequest, p.Range(), req.Pieces)
+			return nil, fmt.Errorf("%w: %s has too few keys for %d slices", ErrInvalidRequest, keys, req.Pieces)
 		}
 	}
 	sets := req.ReplicaSets
--- a/internal/shardmap/plan.go
+++ b/internal/shardmap/plan.go
@@ -54,13 +54,33 @@
 	Reason  string   `json:"why,omitempty" toml:"why,omitempty"` // why it was abandoned
 }
 
-// Range is the range of keys that the plan changes.
-func (p Plan) Range() Range {
-	return Range{First: p.From[0].Range.First, Last: p.From[len(p.From)-1].Range.Last}
+// Range returns the range of keys that the plan changes; false if the plan names no old shards, as a plan in a document
+// may.
+func (p Plan) Range() (Range, bool) {
+	if len(p.From) == 0 {
+		return Range{}, false
+	}
+	return Range{First: p.From[0].Range.First, Last: p.From[len(p.From)-1].Range.Last}, true
+}
+
+// equal reports whether two plans are the same at the same step.
+func (p Plan) equal(other Plan) bool {
+	return p.ID == other.ID && p.Kind == other.Kind && p.Step == other.Step && p.Version == other.Version &&
+		p.Reason == other.Reason && slices.EqualFunc(p.From, other.From, Shard.equal) &&
+		slices.EqualFunc(p.To, other.To, Shard.equal)
 }
 
-func (p Plan) overlaps(r Range) bool {
-	_, ok := p.Range().Intersect(r)
+// overlaps reports whether two plans change some of the same keys. A plan without old shards overlaps no other.
+func (p Plan) overlaps(other Plan) bool {
+	own, ok := p.Range()
+	if !ok {
+		return false
+	}
+	others, ok := other.Range()
+	if !ok {
+		return false
+	}
+	_, ok = own.Intersect(others)
 	return ok
 }
 
--- a/internal/shardmap/resharding/controller.go
+++ b/internal/shardmap/resharding/controller.go
@@ -89,8 +89,12 @@
 	})
 }
 
-// nextAction decides on the next step of a plan. It reports false if the plan has to wait.
+// nextAction decides on the next step of a plan. It reports false if the plan has to wait. A malformed plan, which earlier
+// versions of the program accepted in a document, is abandoned.
 func (c *Controller) nextAction(in Input, index string, p shardmap.Plan, load *migrationLoad) (Action, bool) {
+	if err := in.Maps[index].CheckPlan(p); err != nil && p.Step != shardmap.Switched {
+		return abandon(p, fmt.Sprintf("the plan is malformed: %s", err)), true
+	}
 	stalled := c.stalledFor(in, index, p)
 	switch p.Step {
 	case shardmap.Planned:
--- a/internal/shardmap/validate.go
+++ b/internal/shardmap/validate.go
@@ -30,7 +30,7 @@
 		return fmt.Errorf("%w: plan %d", ErrDuplicateID, p.ID)
 	}
 	for _, other := range earlier {
-		if other.overlaps(p.Range()) {
+		if other.overlaps(p) {
 			return fmt.Errorf("%w: plans %d and %d", ErrPlanOverlap, other.ID, p.ID)
 		}
 	}
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -70,7 +70,7 @@
 // ApplyBatch applies committed entries and returns a config.Result or an error for each. Their index is on disk before
 // readers see their effect, so that whatever this process has acted on is in force again after a restart.
 //
-// An entry of an unknown format halts the FSM, because this replica would diverge if it skipped the entry. The state
+// An entry that cannot be applied halts the FSM, because this replica would diverge if it skipped the entry. The state
 // before that entry stays readable with Local consistency; all other reads and all changes fail with the cause.
 func (f *fsm) ApplyBatch(entries []*raft.Log) []any {
 	responses := make([]any, len(entries))
@@ -85,7 +85,7 @@
 		}
 		response := f.applyEntry(entry)
 		responses[i] = response
-		if err, ok := response.(error); ok && errors.Is(err, config.ErrUnknownFormat) {
+		if err, ok := response.(error); ok && haltsFSM(err) {
 			f.publish(last) // before the halt is seen, so that the state is the one before this entry
 			f.halt(err)
 			eventlog.StoreHalted.Log(entry.Index, err)
@@ -98,17 +98,16 @@
 }
 
 // applyEntry applies one entry to the applied state, which readers do not see yet. The response is an error that wraps
-// config.ErrUnknownFormat if a later version of the program could decode the entry.
+// config.ErrUnknownFormat or errApplyPanicked if a later version of the program could apply the entry.
 func (f *fsm) applyEntry(entry *raft.Log) any {
-	command, err := decodeEntry(entry.Data, f.applied)
+	next, result, err := applyEntryData(f.applied, entry.Data)
 	if err != nil {
 		err = fmt.Errorf("store: entry %d: %w", entry.Index, err)
-		if !errors.Is(err, config.ErrUnknownFormat) {
+		if !haltsFSM(err) {
 			eventlog.SettingsRejected.Log(entry.Index, err)
 		}
 		return err
 	}
-	next, result := f.applied.Apply(command)
 	if result.Reason != config.Applied {
 		eventlog.SettingsRejected.Log(entry.Index, rejectionError(result))
 	} else if next.Settings() != f.applied.Settings() {
@@ -147,6 +146,30 @@
 	}
 }
 
+// errApplyPanicked is the error of an entry whose application panicked.
+var errApplyPanicked = errors.New("the entry cannot be applied by this version")
+
+// haltsFSM reports whether the error of an entry means that another version of the program may be able to apply it.
+func haltsFSM(err error) bool {
+	return errors.Is(err, config.ErrUnknownFormat) || errors.Is(err, errApplyPanicked)
+}
+
+// applyEntryData decodes an entry and applies it to a state. A panic becomes an error: it would end this process again at each
+// start, and every other member that applies the entry.
+func applyEntryData(state *config.State, data []byte) (next *config.State, result config.Result, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("%w: %v", errApplyPanicked, cause)
+		}
+	}()
+	command, err := decodeEntry(data, state)
+	if err != nil {
+		return nil, config.Result{}, err
+	}
+	next, result = state.Apply(command)
+	return next, result, nil
+}
+
 // decodeEntry decodes an entry. Logs written before commands existed hold JSON documents of the complete settings, each
 // with the revision that it creates; they stay readable, and the first settings of a store are such a document still.
 func decodeEntry(data []byte, current *config.State) (config.Command, error) {
--- a/internal/store/restore.go
+++ b/internal/store/restore.go
@@ -83,18 +83,17 @@
 	return decodeSnapshot(data)
 }
 
-// replayEntry returns the state after an entry. An entry that was rejected changes nothing. The error is
-// config.ErrUnknownFormat for an entry that halts the FSM.
+// replayEntry returns the state after an entry. An entry that was rejected changes nothing. It returns an error for an
+// entry that halts the FSM.
 func replayEntry(state *config.State, data []byte) (*config.State, error) {
-	command, err := decodeEntry(data, state)
+	next, _, err := applyEntryData(state, data)
 	switch {
-	case errors.Is(err, config.ErrUnknownFormat):
+	case err == nil:
+		return next, nil
+	case haltsFSM(err):
 		return nil, err
-	case err != nil:
-		return state, nil
 	}
-	next, _ := state.Apply(command)
-	return next, nil
+	return state, nil
 }
 
 // recordAppliedIndex writes the index of the last applied command to disk.
--- a/internal/store/settings.go
+++ b/internal/store/settings.go
@@ -17,7 +17,11 @@
 	}
 	return s.changeSettings(ctx, "patch settings", func(current *searchconfig.Config) (*config.Command, error) {
 		// Checked before the proposal, so that the log only holds patches that can be applied.
-		if _, err := current.Patch(patch); err != nil {
+		next, err := current.Patch(patch)
+		if err != nil {
+			return nil, err
+		}
+		if err := next.CheckProposal(current); err != nil {
 			return nil, err
 		}
 		return &config.Command{Kind: config.PatchSettings, Payload: patch}, nil
@@ -38,6 +42,9 @@
 		if err != nil || next == current {
 			return nil, err
 		}
+		if err := next.CheckProposal(current); err != nil {
+			return nil, err
+		}
 		return replaceCommand(next)
 	})
 }
@@ -56,6 +63,11 @@
 		if err != nil || next == shardMap {
 			return nil, err
 		}
+		if c.Advance != nil {
+			if err := shardMap.CheckAdvance(*c.Advance); err != nil {
+				return nil, err
+			}
+		}
 		return &config.Command{Kind: config.AdvanceShardMap, Index: index, ShardMapCommand: &c}, nil
 	})
 	return err
