--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -63,6 +63,7 @@
 	upstreams := newUpstreamLinks(proc, core, settings, connLimiter)
 	shards := newShardMaps(proc, core, st)
 	registry := newEndpointRegistry(proc, core, names, shards, st)
+	observer := newStoreObserver(proc, settings, registry, st)
 	watcher := newDiscoveryWatcher(proc, core, names, shards, registry)
 	platform := newPlatformFront(proc, core, bodies, fronts)
 	admin := newAdminListener(proc, core)
@@ -83,6 +84,7 @@
 		upstreams.component(),
 		shards.component(),
 		registry.component(),
+		observer.component(),
 		watcher.component(),
 		platform.component(),
 		admin.component(),
--- a/internal/daemon/search_front.go
+++ b/internal/daemon/search_front.go
@@ -42,21 +42,21 @@
 	if f.cfg.Search.Listen == "" {
 		return nil, nil
 	}
+	ln, err := net.Listen("tcp", f.cfg.Search.Listen)
+	if err != nil {
+		return nil, err
+	}
 	settingsHandler := opensearch.FixedSettingsHandler(f.settings.fromFile.Load)
 	if f.cfg.Search.Store.ID == "" {
 		f.shards.publisher.publish(f.settings.fromFile.Load())
 	} else {
 		s, err := f.openStore()
 		if err != nil {
+			_ = ln.Close()
 			return nil, err
 		}
 		settingsHandler = opensearch.StoreSettingsHandler(searchSettings{s}, f.counters)
 	}
-	ln, err := net.Listen("tcp", f.cfg.Search.Listen)
-	if err != nil {
-		_ = f.store.close()
-		return nil, err
-	}
 	front := f.fronts.add("search", ln, &memberHandler{registry: f.registry, front: f.handler(settingsHandler)}, []string{})
 	front.server.MaxBody = Keys.Int("bodies.max_body_kib", f.cfg.Search.Bodies.MaxKiB) << 10
 	if f.bodies.store != nil {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -10,6 +10,12 @@
 	"linkpass/internal/eventlog"
 )
 
+// The interval between two starts of the deferred components, which doubles from the minimum to the maximum.
+const (
+	minDeferredRetryInterval = 100 * time.Millisecond
+	maxDeferredRetryInterval = 10 * time.Second
+)
+
 // NotifySignals returns a channel of the signals that do not end the program: SIGUSR1 asks for a log of the counters,
 // SIGHUP for a reload. Unless they are received, SIGHUP would end the program.
 func NotifySignals() <-chan os.Signal {
@@ -72,6 +78,15 @@
 // servers, and starts the deferred components once no other process of this coordinator runs.
 func (p *Program) handleEvents(term context.Context, signals <-chan os.Signal, successor bool) {
 	usable, warm := p.discovery.watcher.Ready(), make(chan struct{})
+	var retry <-chan time.Time // of the start of the deferred components
+	retryInterval := minDeferredRetryInterval
+	startDeferred := func() {
+		retry = nil
+		if !p.startDeferred() {
+			retry = time.After(retryInterval)
+			retryInterval = min(2*retryInterval, maxDeferredRetryInterval)
+		}
+	}
 	for {
 		select {
 		case <-usable:
@@ -87,7 +102,9 @@
 			close(p.fronts.admit)
 			p.readiness.MarkEndpointsUsable()
 		case <-p.limits.alone:
-			p.startDeferred()
+			startDeferred()
+		case <-retry:
+			startDeferred()
 		case sig := <-signals:
 			p.handleSignal(sig)
 		case <-term.Done():
@@ -96,17 +113,22 @@
 	}
 }
 
-// startDeferred starts the components that use what the other process of this coordinator owned until it ended.
-func (p *Program) startDeferred() {
+// startDeferred starts the components that use what the other process of this coordinator owned until it ended, and are
+// not started yet. It returns false if one of them has failed: the system may not have released yet what a process owned
+// that was killed.
+func (p *Program) startDeferred() (ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	ok = true
 	p.components.StartDeferred(func(name string, err error) {
+		ok = false
 		if name == adminAPIName {
 			eventlog.AdminAPIFailed.Log(err)
 			return
 		}
 		eventlog.SearchFailed.Log(err)
 	})
+	return ok
 }
 
 // awaitShutdown handles signals until the fronts have stopped. It returns in any case before the platform kills the
--- a/internal/endpoints/broadcast.go
+++ b/internal/endpoints/broadcast.go
@@ -12,10 +12,14 @@
 // broadcastTimeout limits one call of a BroadcastFunc.
 const broadcastTimeout = 300 * time.Millisecond
 
-// requestsToBroadcast returns the requests that the other instances must receive: the pending and the recent ones.
+// requestsToBroadcast returns the requests that the other instances must receive: the pending and the recent ones, none
+// before Attach.
 func (r *Registry) requestsToBroadcast() []restriction.Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.log == nil {
+		return nil
+	}
 	return r.recent.appendTo(r.pending.List())
 }
 
@@ -50,6 +54,16 @@
 	return send(ctx, requests)
 }
 
+// requestsToPropose returns the pending requests, none before Attach.
+func (r *Registry) requestsToPropose() []restriction.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.log == nil {
+		return nil
+	}
+	return r.pending.List()
+}
+
 // propose proposes pending requests to the log, if this instance leads it.
 func (r *Registry) propose(ctx context.Context, requests []restriction.Request) {
 	r.mu.Lock()
--- a/internal/endpoints/registry.go
+++ b/internal/endpoints/registry.go
@@ -49,7 +49,7 @@
 		}
 		r.broadcasters = append(r.broadcasters, newWorker(r.requestsToBroadcast, handle))
 	}
-	r.proposer = newWorker(r.PendingRestrictions, r.propose)
+	r.proposer = newWorker(r.requestsToPropose, r.propose)
 	return r
 }
 
@@ -80,10 +80,25 @@
 	for _, request := range restored {
 		eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "this instance's disk")
 	}
-	r.publishOverrides(log.State().RemovedIDs())
+	r.publishOverrides(log.State(), log.State().RemovedIDs())
 	r.wakeWorkers()
 }
 
+// Observe applies the overrides in the state of another process of this instance, which has the log open, and the requests
+// that are pending there; that process broadcasts and proposes them. After Attach it does nothing.
+func (r *Registry) Observe(state *config.State, pending []restriction.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.log != nil {
+		return
+	}
+	for _, request := range r.pending.Receive(state, pending...) {
+		eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "the other process")
+	}
+	r.pending.DropSettled(state)
+	r.publishOverrides(state, state.RemovedIDs())
+}
+
 // UpdateEndpoints applies an update of discovery.
 func (r *Registry) UpdateEndpoints(update coordinator.EndpointUpdate) {
 	r.mu.Lock()
@@ -99,8 +114,9 @@
 	if r.log == nil {
 		return
 	}
-	r.pending.DropSettled(r.log.State())
-	r.publishOverrides(nil)
+	state := r.log.State()
+	r.pending.DropSettled(state)
+	r.publishOverrides(state, nil)
 }
 
 // Restrict takes a server out of service: at this instance at once, at the others as soon as they receive the request,
@@ -138,7 +154,7 @@
 	r.cfg.Counters.Add("restrictions_issued", 1)
 	eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "an operator")
 	r.recent.add(request)
-	r.publishOverrides(nil)
+	r.publishOverrides(state, nil)
 	r.wakeWorkers()
 	return request, nil
 }
@@ -186,7 +202,7 @@
 	}
 	if len(added) > 0 {
 		r.pendingChanges++
-		r.publishOverrides(nil)
+		r.publishOverrides(r.log.State(), nil)
 		r.wakeWorkers()
 	}
 	return len(added), nil
@@ -206,10 +222,9 @@
 	r.proposer.notify()
 }
 
-// publishOverrides passes the overrides that have changed to the merger, and the update that results to OnUpdate. It
+// publishOverrides passes the overrides that have changed in a state to the merger, and the update that results to OnUpdate. It
 // looks at the named servers and at all that have an override or had one. The caller must hold the mutex.
-func (r *Registry) publishOverrides(names []string) {
-	state := r.log.State()
+func (r *Registry) publishOverrides(state *config.State, names []string) {
 	names = append(names, state.ServerIDs()...)
 	for _, request := range r.pending.List() {
 		names = append(names, request.Server)
--- a/internal/eventlog/events_admin.go
+++ b/internal/eventlog/events_admin.go
@@ -7,8 +7,8 @@
 	AdminAPIFailed = register(Event{
 		Component: "control", Name: "admin_api_failed", FormerName: "control_failed", Level: hclog.Error,
 		Fields:  []string{"err"},
-		Meaning: "the admin API could not listen after the other process had ended",
-		Action:  "free its socket or address, then restart",
+		Meaning: "the admin API could not listen after the other process had ended; the start is repeated",
+		Action:  "nothing if it stops within seconds; else free its socket or address",
 	})
 	KeysLoaded = register(Event{
 		Component: "control", Name: "keys_loaded", FormerName: "keys_taken", Level: hclog.Info,
--- a/internal/eventlog/events_fronts.go
+++ b/internal/eventlog/events_fronts.go
@@ -40,8 +40,8 @@
 	SearchFailed = register(Event{
 		Component: "search", Name: "search_failed", Level: hclog.Error,
 		Fields:  []string{"err"},
-		Meaning: "the search front or the store could not start after the other process had ended",
-		Action:  "free their address and files, then restart",
+		Meaning: "the search front or the store could not start after the other process had ended; the start is repeated",
+		Action:  "nothing if it stops within seconds; else free their address and files",
 	})
 	SearchRejected = register(Event{
 		Component: "search", Name: "search_rejected", Level: hclog.Warn,
--- a/internal/eventlog/events_store.go
+++ b/internal/eventlog/events_store.go
@@ -14,8 +14,8 @@
 	StoreHalted = register(Event{
 		Component: "store", Name: "store_halted", Level: hclog.Error,
 		Fields: []string{"index", "err"},
-		Meaning: "a log entry has a format of a later version of the program; this instance applies no further " +
-			"entry, and the state that it has stays in force here",
+		Meaning: "a log entry has a format of a later version of the program, or cannot be applied by this one; this " +
+			"instance applies no further entry, and the state that it has stays in force here",
 		Action: "upgrade this instance to the others' version and restart it; searches continue meanwhile",
 	})
 	StoreStateRestored = register(Event{
@@ -25,6 +25,21 @@
 			"and protocols are in force from here on",
 		Action: "nothing; `store_caught_up` follows once the instance has what was committed meanwhile",
 	})
+	StoreObserved = register(Event{
+		Component: "store", Name: "store_observed", Level: hclog.Info,
+		Fields: []string{"version", "pending"},
+		Meaning: "another process of this coordinator has the store open, and this one has read its files; the drains, " +
+			"removals, weights and protocols in them are in force here too",
+		Action: "nothing",
+	})
+	StoreUnreadable = register(Event{
+		Component: "store", Name: "store_unreadable", Level: hclog.Error,
+		Fields: []string{"err"},
+		Meaning: "another process of this coordinator has the store open, and this one cannot read its files; it serves by " +
+			"what it read last, or by discovery's list alone",
+		Action: "make sure that `store.dir` and `$TMPDIR` can be read and written; end the other process, so that this one " +
+			"opens the store",
+	})
 	StoreCaughtUp = register(Event{
 		Component: "store", Name: "store_caught_up", Level: hclog.Info,
 		Fields:  []string{"version", "waited_ms"},
--- a/internal/store/boot.go
+++ b/internal/store/boot.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	boots, err := s.readStable(keyBootCount)
+	boots, err := readStable(s.bolt, keyBootCount)
 	if err != nil {
 		return err
 	}
@@ -46,7 +46,7 @@
 
 // diskPosition returns the current term and the last index that the log or a snapshot on disk holds.
 func (s *Store) diskPosition(snapshots raft.SnapshotStore) (rollback.Position, error) {
-	term, err := s.readStable(keyCurrentTerm)
+	term, err := readStable(s.bolt, keyCurrentTerm)
 	if err != nil {
 		return rollback.Position{}, err
 	}
@@ -65,8 +65,8 @@
 }
 
 // readStable reads a number from the stable store. It returns 0 if the key was never written.
-func (s *Store) readStable(key []byte) (uint64, error) {
-	value, err := s.bolt.GetUint64(key)
+func readStable(bolt *raftboltdb.BoltStore, key []byte) (uint64, error) {
+	value, err := bolt.GetUint64(key)
 	if err != nil && !errors.Is(err, raftboltdb.ErrKeyNotFound) {
 		return 0, fmt.Errorf("store: read %s: %w", key, err)
 	}
--- a/internal/store/pending.go
+++ b/internal/store/pending.go
@@ -26,8 +26,10 @@
 }
 
 // LoadPending returns the pending restriction requests that are on disk, some of which the log may have settled since.
-func (s *Store) LoadPending() ([]restriction.Request, error) {
-	data, err := s.bolt.Get(keyPending)
+func (s *Store) LoadPending() ([]restriction.Request, error) { return loadPending(s.bolt) }
+
+func loadPending(bolt *raftboltdb.BoltStore) ([]restriction.Request, error) {
+	data, err := bolt.Get(keyPending)
 	if errors.Is(err, raftboltdb.ErrKeyNotFound) {
 		return nil, nil
 	}
--- a/internal/store/restore.go
+++ b/internal/store/restore.go
@@ -6,10 +6,9 @@
 	"io"
 
 	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"linkpass/internal/config"
-	"linkpass/internal/eventlog"
-	"linkpass/internal/searchconfig"
 )
 
 // keyAppliedIndex is the key of the stable store that holds the index of the last command that this instance has
@@ -22,21 +21,28 @@
 	index uint64 // of the last entry in the state
 }
 
+// initialState returns the state before the first entry.
+func (c *Config) initialState() restoredState {
+	return restoredState{state: config.NewState(c.initialSettings())}
+}
+
 // restoreState returns the state that this instance had applied when it last ran. Raft passes the entries of the log to
 // the FSM only after a leader has told that they are committed, and without a quorum never; those up to the recorded
-// index are known to be committed. If the log does not have all of them, the state is an older one.
-func (s *Store) restoreState(snapshots raft.SnapshotStore) (restoredState, error) {
-	applied, err := s.readStable(keyAppliedIndex)
+// index are known to be committed. If the log does not have all of them, the state is an older one. Entries that are in
+// an earlier state of the same instance are not applied again; an earlier state without an index is the one before the
+// first entry.
+func restoreState(bolt *raftboltdb.BoltStore, snapshots raft.SnapshotStore, earlier restoredState) (restoredState, error) {
+	applied, err := readStable(bolt, keyAppliedIndex)
 	if err != nil {
 		return restoredState{}, err
 	}
-	restored, err := restoreSnapshot(snapshots, s.config.initialSettings())
+	restored, err := restoreSnapshot(snapshots, earlier)
 	if err != nil {
 		return restoredState{}, err
 	}
 	for index := restored.index + 1; index <= applied; index++ {
 		var entry raft.Log
-		if err := s.bolt.GetLog(index, &entry); errors.Is(err, raft.ErrLogNotFound) {
+		if err := bolt.GetLog(index, &entry); errors.Is(err, raft.ErrLogNotFound) {
 			break
 		} else if err != nil {
 			return restoredState{}, fmt.Errorf("store: read entry %d: %w", index, err)
@@ -50,23 +56,25 @@
 		}
 		restored.index = index
 	}
-	eventlog.StoreStateRestored.Log(restored.state.Version(), restored.index)
 	return restored, nil
 }
 
-// restoreSnapshot returns the state of the latest snapshot that can be read, or a state with the initial settings if
-// there is none. Raft starts from the same snapshot.
-func restoreSnapshot(snapshots raft.SnapshotStore, initial *searchconfig.Config) (restoredState, error) {
+// restoreSnapshot returns the state of the latest snapshot that can be read, or the earlier state if there is none that
+// is later. Raft starts from the same snapshot.
+func restoreSnapshot(snapshots raft.SnapshotStore, earlier restoredState) (restoredState, error) {
 	list, err := snapshots.List()
 	if err != nil {
 		return restoredState{}, fmt.Errorf("store: list snapshots: %w", err)
 	}
 	for _, meta := range list {
+		if meta.Index <= earlier.index {
+			break // the list begins with the latest one
+		}
 		if state, err := readSnapshot(snapshots, meta.ID); err == nil {
 			return restoredState{state: state, index: meta.Index}, nil
 		}
 	}
-	return restoredState{state: config.NewState(initial)}, nil
+	return earlier, nil
 }
 
 // readSnapshot reads the state of a snapshot.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -105,10 +105,11 @@
 		return err
 	}
 	s.snapshots = snapshots
-	restored, err := s.restoreState(snapshots)
+	restored, err := restoreState(s.bolt, snapshots, s.config.initialState())
 	if err != nil {
 		return err
 	}
+	eventlog.StoreStateRestored.Log(restored.state.Version(), restored.index)
 	s.fsm.setRestored(restored)
 	if err := s.recordBoot(snapshots); err != nil {
 		return err
