--- a/internal/coordinator/attempt.go
+++ b/internal/coordinator/attempt.go
@@ -25,6 +25,7 @@
 	Body        Body          // takes the place of Payload; nil if there is none
 	Deadline    time.Duration // the query's deadline on the clock of Core.Now; from this time nothing may be written
 	WriteBefore time.Duration // end of the idempotency window on the same clock, with the same effect; 0 means no limit
+	AtMostOnce  bool          // the part must not run twice
 	Request     *ShardRequest // nil if the shard map is fixed
 	ended       *atomic.Bool  // set by the core; nil is read as false
 	shardMoved  *atomic.Bool  // set by the core; nil is read as false
--- a/internal/coordinator/attempts.go
+++ b/internal/coordinator/attempts.go
@@ -57,6 +57,7 @@
 		Body:        q.Body,
 		Deadline:    q.deadline,
 		WriteBefore: writeBefore,
+		AtMostOnce:  c.settings.Classes[q.Class].Idempotency == routing.NonIdempotent,
 		Request:     p.Request,
 		ended:       &a.ended,
 		shardMoved:  &a.shardMoved,
--- a/internal/emulator/search.go
+++ b/internal/emulator/search.go
@@ -19,6 +19,9 @@
 		if s.isPartitioned() || s.isPaused() {
 			s.awaitResponsive(r)
 		}
+		if name := r.Header.Get(headerRequestName); name != "" {
+			w.Header().Set(headerRequestName, name)
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/internal/emulator/wire.go
+++ b/internal/emulator/wire.go
@@ -19,6 +19,7 @@
 	headerRange           = "X-Layout-Range"   // requested range of keys
 	headerCoveredRange    = "X-Layout-Covers"  // range of keys for which the answer is complete
 	headerLoadReport      = "X-Server-Load"
+	headerRequestName     = "X-Opaque-Id" // repeated in the response, as OpenSearch does
 )
 
 // Routes of a server and of discovery. The protocol calls the shard assignment the layout, and the endpoint list the
--- a/internal/opensearch/codec_response.go
+++ b/internal/opensearch/codec_response.go
@@ -54,6 +54,7 @@
 		return upstream.Message{}, outcome.FromReadError(err, false), err
 	}
 	m := upstream.Message{
+		Name:       res.Header.Get(headerPartName),
 		Outcome:    outcome.ServerError,
 		ConnCloses: res.Close,
 		LoadReport: loadreport.Parse(res.Header.Get(headerLoadReport), r.ReportNames),
--- a/internal/reshardexec/server_conn.go
+++ b/internal/reshardexec/server_conn.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"net/textproto"
+	"strconv"
 	"time"
 
 	"linkpass/internal/http1"
@@ -13,11 +16,21 @@
 // maxResponseBytes bounds the size of a response. The status of 100,000 shards fits.
 const maxResponseBytes = 16 << 20
 
-// serverConn is a connection to a server, reused between polls. It is not safe for concurrent use.
+// headerPollName names a poll. A server that repeats it in its response, as OpenSearch does, lets the response be told
+// from a second copy of an earlier one.
+const headerPollName = "X-Opaque-Id"
+
+// errForeignResponse is the error of a response to another poll.
+var errForeignResponse = errors.New("the response names another poll")
+
+// serverConn is a connection to a server. It is reused between polls if the server repeats their names. It is not safe for
+// concurrent use.
 type serverConn struct {
 	addr    string
 	netConn net.Conn
 	reader  *http1.Reader
+	polls   uint64 // number of polls so far, which names them
+	named   bool   // the last response repeated the name of its poll
 }
 
 // dialServer connects to a server.
@@ -44,13 +57,21 @@
 	if err := c.netConn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return response, err
 	}
-	if err := http1.WriteRequest(c.netConn, "PUT", AssignmentsPath, "league-server", nil, body); err != nil {
+	c.polls++
+	name := strconv.FormatUint(c.polls, 10)
+	header := textproto.MIMEHeader{headerPollName: {name}}
+	if err := http1.WriteRequest(c.netConn, "PUT", AssignmentsPath, "league-server", header, body); err != nil {
 		return response, err
 	}
 	res, err := c.reader.Response()
 	if err != nil {
 		return response, err
 	}
+	repeated := res.Header.Get(headerPollName)
+	c.named = repeated == name
+	if repeated != "" && !c.named {
+		return response, fmt.Errorf("%w: %.40q in place of %s", errForeignResponse, repeated, name)
+	}
 	if res.Status == StatusStaleOrder {
 		var refusal AssignmentRefusal
 		if err := json.Unmarshal(res.Body, &refusal); err != nil {
--- a/internal/reshardexec/server_poller.go
+++ b/internal/reshardexec/server_poller.go
@@ -113,6 +113,10 @@
 		conn.close()
 		return nil, response, err
 	}
+	if !conn.named { // the next response on it could be a second copy of this one
+		conn.close()
+		return nil, response, nil
+	}
 	return conn, response, nil
 }
 
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -23,8 +23,10 @@
 type Message struct {
 	// HealthCheck is true if the message is the reply to a health check. In a protocol with exclusive connections, it
 	// is true if the message cannot be the reply to a part.
-	HealthCheck     bool
-	Name            string // of the part that it replies to; empty in a protocol with exclusive connections
+	HealthCheck bool
+	// Name is the name of the part that the message replies to. In a protocol with exclusive connections, it is empty if
+	// the server did not repeat the name.
+	Name            string
 	Outcome         outcome.Outcome
 	LoadReport      []float64 // in the order of the configured fields; nil: none
 	Value           []byte
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -50,25 +50,46 @@
 	}
 	conn.checkPending = false
 	c.dropUnresponsive(conn, at)
-	if c.limits.Exclusive {
-		m.identifyReply(conn)
+	identified := !c.limits.Exclusive || m.Name != "" || m.HealthCheck
+	if !identified {
+		m.assumeReply(conn)
 	}
 	c.handleReply(conn, &m, at)
+	if !identified {
+		c.replace(conn)
+	}
 	idleOverLimit := c.config.ConnLimiter.exceeded() && len(conn.inFlight)+len(conn.healthChecks)+conn.reserved == 0
 	if m.ConnCloses || idleOverLimit {
 		c.drop(conn, outcome.ConnClosed)
 	}
 }
 
-// identifyReply marks the message as the reply to the part or health check in flight. It is for exclusive connections:
-// their messages carry no name, and only one part or health check is in flight.
-func (m *Message) identifyReply(conn *connection) {
-	m.HealthCheck = m.HealthCheck || len(conn.healthChecks) > 0
+// assumeReply marks a message that does not tell what it replies to as the reply to the health check in flight, or to the
+// part in flight if no other part was ever written to the connection. Otherwise it may be a second copy of an earlier
+// reply, and is not marked. It is for exclusive connections, which have one part or health check in flight.
+func (m *Message) assumeReply(conn *connection) {
+	m.HealthCheck = len(conn.healthChecks) > 0
+	if len(conn.endedNames) > 0 {
+		return
+	}
 	for name := range conn.inFlight {
 		m.Name = name
 	}
 }
 
+// replace closes a connection on which a reply was assumed: whatever is read next on it could be a second copy of that
+// reply. It dials another connection in its place, so that the next request does not wait for a dial.
+func (c *Client) replace(conn *connection) {
+	if conn.closed {
+		return
+	}
+	c.config.Counters.Add("upstream_conns_not_reused", 1)
+	c.drop(conn, outcome.ConnClosed)
+	if !c.draining && c.acceptsWork.Load() {
+		c.pickConnection(1, nil)
+	}
+}
+
 // handleReply reports the result of the health check or attempt that a message is the reply to. It counts a late reply,
 // and closes the connection if the message is not a reply to anything that was sent.
 func (c *Client) handleReply(conn *connection, m *Message, at time.Duration) {
@@ -81,8 +102,8 @@
 	case !m.HealthCheck && inFlight:
 		conn.recordEnded(m.Name)
 		c.config.Sink.AttemptEnded(id, m.result(at))
-	case m.HealthCheck || c.limits.Exclusive || !slices.Contains(conn.endedNames, m.Name):
-		// A reply with a name that was never sent is a corrupted reply to one of the parts in flight. Closing the
+	case m.HealthCheck || !slices.Contains(conn.endedNames, m.Name):
+		// A reply without a name, or with one that was never sent, is a corrupted reply to one of the parts in flight. Closing the
 		// connection ends them.
 		c.config.Counters.Add("upstream_messages_malformed", 1)
 		c.log.Log(eventlog.MessageMalformed, c.server, outcome.MalformedResponse,
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -66,7 +66,7 @@
 	now := c.config.Sink.Now()
 	var r request
 	for _, a := range attempts {
-		name := a.Query + "." + strconv.Itoa(a.Shard)
+		name := partName(a)
 		_, duplicate := conn.inFlight[name] // another open query has the same name: the replies would be ambiguous
 		switch {
 		case a.Expired(now) || !c.acceptsWork.Load() || a.Canceled() || duplicate:
@@ -83,6 +83,9 @@
 	return r
 }
 
+// partName returns the name of an attempt's part.
+func partName(a coordinator.Attempt) string { return a.Query + "." + strconv.Itoa(a.Shard) }
+
 func newPart(name string, a coordinator.Attempt, now time.Duration) Part {
 	return Part{
 		Name:       name,
