--- a/internal/adminapi/error_golden_test.go
+++ b/internal/adminapi/error_golden_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"testing"
 
 	"linkpass/internal/config"
+	"linkpass/internal/config/restriction"
 	"linkpass/internal/endpoints"
+	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
 
@@ -31,6 +34,14 @@
 		{"busy", store.ErrRateLimited, 429, ""},
 		{"no quorum", store.ErrNoQuorum, 503, ""},
 		{"no leader", store.ErrNoLeader, 503, ""},
+		{"too many pending", restriction.ErrTooManyPending, 503, ""},
+		{"store not open", endpoints.ErrStoreNotReady, 503, ""},
+		{"another change", store.ErrConflict, 409, ""},
+		{"invalid settings", searchconfig.ErrInvalid, 400, ""},
+		// Neither 429 nor 503, which say that nothing was changed.
+		{"unknown outcome", fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, store.ErrNoQuorum), 504, ""},
+		{"in force, not on disk", endpoints.ErrNotOnDisk, 500, ""},
+		{"other", errors.New("odd"), 500, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			requireErrorResponses(t, c.err, c.status, c.err.Error()+c.suffix)
--- a/internal/adminapi/response.go
+++ b/internal/adminapi/response.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net/textproto"
 
+	"linkpass/internal/config/restriction"
 	"linkpass/internal/endpoints"
 	"linkpass/internal/http1"
+	"linkpass/internal/searchconfig"
 	"linkpass/internal/store"
 )
 
@@ -50,20 +52,28 @@
 	return errorResponse(storeErrorStatus(err), err)
 }
 
-// storeErrorStatus returns the status for an error of the store other than store.NotLeaderError.
+// storeErrorStatus returns the status for an error of the store other than store.NotLeaderError. It is 429 or 503 only if
+// nothing was changed, so that the call may be repeated.
 func storeErrorStatus(err error) int {
 	var rejected *endpoints.RejectedError
 	switch {
 	case errors.As(err, &rejected),
 		errors.Is(err, ErrNoStore),
+		errors.Is(err, store.ErrConflict),
 		errors.Is(err, store.ErrUnknownMember),
 		errors.Is(err, store.ErrQuorumAtRisk),
 		errors.Is(err, store.ErrLearnerBehind):
 		return 409
+	case errors.Is(err, searchconfig.ErrInvalid):
+		return 400
 	case errors.Is(err, store.ErrTooLarge):
 		return 413
 	case errors.Is(err, store.ErrRateLimited):
 		return 429
+	case errors.Is(err, store.ErrOutcomeUnknown):
+		return 504
+	case store.ChangedNothing(err), errors.Is(err, endpoints.ErrStoreNotReady), errors.Is(err, restriction.ErrTooManyPending):
+		return 503
 	}
-	return 503
+	return 500
 }
--- a/internal/daemon/member_handler.go
+++ b/internal/daemon/member_handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"linkpass/internal/config/restriction"
 	"linkpass/internal/config/rollback"
+	"linkpass/internal/endpoints"
 	"linkpass/internal/http1"
 	"linkpass/internal/store"
 )
@@ -83,8 +85,11 @@
 	if id, ok := strings.CutPrefix(req.Query, "from="); ok && isMember(members, id) {
 		from = id
 	}
-	if err := h.registry.registry.ReceiveRestrictions(from, pending); err != nil {
+	switch err := h.registry.registry.ReceiveRestrictions(from, pending); {
+	case errors.Is(err, endpoints.ErrStoreNotReady):
 		return &http1.Response{Status: 503, Body: []byte(err.Error() + "\n")}
+	case err != nil: // in force here, and not on disk
+		return &http1.Response{Status: 500, Body: []byte(err.Error() + "\n")}
 	}
 	return &http1.Response{Status: 200}
 }
--- a/internal/opensearch/answer.go
+++ b/internal/opensearch/answer.go
@@ -39,7 +39,8 @@
 }
 
 // encodeByStatus returns the response for the way the query ended: the merged hits of a complete answer, or of a
-// partial one where the search allows it, and otherwise an error.
+// partial one where the search allows it, and otherwise an error. Only a rejected search, which may safely be repeated, is
+// answered 429.
 func encodeByStatus(s searchRequest, a coordinator.Answer, took int64, counts shardCounts) *http1.Response {
 	if a.Status == coordinator.Answered && (a.Complete || s.allowPartial) {
 		return jsonResponse(200, searchResponse{
@@ -55,7 +56,7 @@
 		Phase:        "query",
 		Grouped:      true,
 		FailedShards: counts.Failures,
-		Status:       503,
+		Status:       500, // not 503, which would say that nothing has run
 	}
 	switch {
 	case a.Status == coordinator.Rejected:
--- a/internal/opensearch/answer_test.go
+++ b/internal/opensearch/answer_test.go
@@ -33,7 +33,7 @@
 		"partial, not allowed": {partial, "?allow_partial_search_results=false", 504, true, ""},
 		"rejected":             {withoutValues(coordinator.Rejected, 250*time.Millisecond, false), "", 429, false, "0.250"},
 		"timeout":              {withoutValues(coordinator.Failed, 0, true), "", 504, true, ""},
-		"failed":               {withoutValues(coordinator.Failed, 0, false), "", 503, false, ""},
+		"failed":               {withoutValues(coordinator.Failed, 0, false), "", 500, false, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			res, out := serve(newFront(&fakeCore{answer: c.answer}), "POST", "/players/_search"+c.params, "")
--- a/internal/opensearch/errors.go
+++ b/internal/opensearch/errors.go
@@ -22,6 +22,7 @@
 	errTypeNotLeader        = "not_cluster_manager_exception"            // store: another member leads
 	errTypeNoLeader         = "cluster_manager_not_discovered_exception" // store: no leader known
 	errTypeNoQuorum         = "process_cluster_event_timeout_exception"  // store: no quorum within the time
+	errTypeOther            = "exception"                                // store: any other failure
 	errTypeClusterBlock     = "cluster_block_exception"                  // store: not caught up since the start
 	errTypeVersionConflict  = "version_conflict_engine_exception"        // store: compare-and-set failed
 	errTypeNoShardAvailable = "no_shard_available_action_exception"      // attempt: none was made
--- a/internal/opensearch/reroute.go
+++ b/internal/opensearch/reroute.go
@@ -14,7 +14,6 @@
 	"linkpass/internal/http1"
 	"linkpass/internal/searchconfig"
 	"linkpass/internal/shardmap"
-	"linkpass/internal/store"
 )
 
 const (
@@ -169,8 +168,5 @@
 	if errors.As(err, &unknown) {
 		return f.reject(err)
 	}
-	if errors.Is(err, store.ErrConflict) {
-		return errorResponse(&apiError{Type: errTypeVersionConflict, Reason: err.Error(), Status: 409})
-	}
 	return storeErrorResponse(err, reroutePath, f.Counters)
 }
--- a/internal/opensearch/settings_test.go
+++ b/internal/opensearch/settings_test.go
@@ -1,7 +1,9 @@
 package opensearch
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"testing"
 
 	"linkpass/internal/metrics"
@@ -29,7 +31,10 @@
 		status int
 	}{
 		{&store.NotLeaderError{Leader: store.Member{ID: "b", HTTP: "127.0.0.1:9201"}}, 307},
-		{store.ErrNoLeader, 503}, {store.ErrNoQuorum, 503}, {searchconfig.ErrInvalid, 400}, {errors.New("odd"), 503},
+		{store.ErrNoLeader, 503}, {store.ErrNoQuorum, 503}, {searchconfig.ErrInvalid, 400},
+		// Neither 429 nor 503, which say that nothing was changed.
+		{errors.New("odd"), 500}, {fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, store.ErrNoQuorum), 504},
+		{fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, context.DeadlineExceeded), 504}, {store.ErrConflict, 409},
 	} {
 		r.err = c.err
 		res, out := serve(f, "PUT", "/_cluster/settings", body)
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -24,7 +24,7 @@
 	// appliedIndex is the index of the last command in the current state.
 	appliedIndex atomic.Uint64
 
-	halted            atomic.Pointer[error]      // cause of the halt; nil while entries are applied
+	halted            atomic.Pointer[error]      // ErrHalted with its cause; nil while entries are applied
 	onSettingsChanged func(*searchconfig.Config) // Config.OnSettingsChanged; may be nil
 	onApplied         func()                     // Config.OnApplied; may be nil
 	// recordIndex writes to disk that the entries up to an index are applied. It is nil if there is no disk.
@@ -53,10 +53,16 @@
 	}
 }
 
+// ErrHalted is the error of an instance that applies no further entry. The returned error also wraps the cause.
+var ErrHalted = errors.New("store: this instance has halted")
+
 // halt makes the FSM reject all further entries and snapshots, and all reads except local ones, with the cause.
-func (f *fsm) halt(cause error) { f.halted.Store(&cause) }
+func (f *fsm) halt(cause error) {
+	err := fmt.Errorf("%w: %w", ErrHalted, cause)
+	f.halted.Store(&err)
+}
 
-// haltedErr returns the cause of the halt; nil if the FSM is not halted.
+// haltedErr returns ErrHalted with the cause of the halt; nil if the FSM is not halted.
 func (f *fsm) haltedErr() error {
 	if cause := f.halted.Load(); cause != nil {
 		return *cause
--- a/internal/store/membership.go
+++ b/internal/store/membership.go
@@ -61,11 +61,21 @@
 	if result.Reason != config.Applied {
 		return fmt.Errorf("%w: %s: %s", ErrUnknownMember, result.Reason, result.Detail)
 	}
+	// The replicated address does no harm if the next step fails; a retry continues from here.
 	if err := checkContext(ctx, operation); err != nil {
-		return err // the replicated address does no harm; a retry continues from here
+		return halfDone(operation, err)
 	}
 	future := s.raft.AddNonvoter(raft.ServerID(m.ID), raft.ServerAddress(m.Raft), 0, quorumTimeout)
-	return awaitChange(ctx, operation, future)
+	return halfDone(operation, awaitChange(ctx, operation, future))
+}
+
+// halfDone returns the error of the second of two steps, the first of which was done. It wraps ErrOutcomeUnknown, because
+// the operation has changed something.
+func halfDone(operation string, err error) error {
+	if err == nil || errors.Is(err, ErrOutcomeUnknown) {
+		return err
+	}
+	return fmt.Errorf("store: %s: half of it is done: %w: %w", operation, ErrOutcomeUnknown, err)
 }
 
 // checkNewMember reports whether a member exists already. It returns an error if its id is in use at another Raft
@@ -144,7 +154,7 @@
 	}
 	command := config.Command{Kind: config.RemoveMemberAddress, Server: id}
 	_, err = s.Propose(context.WithoutCancel(ctx), command)
-	return err
+	return halfDone(operation, err)
 }
 
 // membersAsLeader returns the members after a quorum has confirmed that this instance is the leader. The state of this
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -99,6 +99,9 @@
 	case config.Result:
 		return response, nil
 	case error:
+		if haltsFSM(response) || errors.Is(response, ErrHalted) { // the entry is committed, and not applied here
+			return config.Result{}, fmt.Errorf("store: %s: %w: %w", operation, ErrOutcomeUnknown, response)
+		}
 		return config.Result{}, response
 	default:
 		return config.Result{}, fmt.Errorf("store: entry %d: unexpected response %v", future.Index(), response)
