--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -57,6 +57,9 @@
 // RemovedIDs lists the ids of removed servers, sorted. They are never reused.
 func (s *State) RemovedIDs() []string { return slices.Sorted(maps.Keys(s.removed)) }
 
+// RemovedCount is the number of removed servers. It never decreases.
+func (s *State) RemovedCount() int { return len(s.removed) }
+
 // MemberAddress returns the client address of a member that joined while the cluster was running.
 func (s *State) MemberAddress(id string) (addr string, ok bool) {
 	addr, ok = s.memberAddresses[id]
--- a/internal/endpoints/registry.go
+++ b/internal/endpoints/registry.go
@@ -25,6 +25,7 @@
 	merger             *endpointmerge.Merger
 	log                ReplicatedLog                     // nil until Attach
 	publishedOverrides map[string]endpointmerge.Override // by server: those last given to the merger, without empty ones
+	publishedRemovals  map[string]bool                   // servers removed by the log, for good, as given to the merger
 	recent             recentRequests
 	pendingChanges     uint64 // number of times that requests became pending
 	savedChanges       uint64 // pendingChanges at the last save
@@ -39,6 +40,7 @@
 		pending:            restriction.NewPendingSet(origin),
 		merger:             endpointmerge.New(),
 		publishedOverrides: map[string]endpointmerge.Override{},
+		publishedRemovals:  map[string]bool{},
 		recent:             recentRequests{},
 		saving:             make(chan struct{}, 1),
 	}
@@ -80,7 +82,7 @@
 	for _, request := range restored {
 		eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "this instance's disk")
 	}
-	r.publishOverrides(log.State(), log.State().RemovedIDs())
+	r.publishOverrides(log.State())
 	r.wakeWorkers()
 }
 
@@ -96,7 +98,7 @@
 		eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "the other process")
 	}
 	r.pending.DropSettled(state)
-	r.publishOverrides(state, state.RemovedIDs())
+	r.publishOverrides(state)
 }
 
 // UpdateEndpoints applies an update of discovery.
@@ -116,7 +118,7 @@
 	}
 	state := r.log.State()
 	r.pending.DropSettled(state)
-	r.publishOverrides(state, nil)
+	r.publishOverrides(state)
 }
 
 // Restrict takes a server out of service: at this instance at once, at the others as soon as they receive the request,
@@ -154,7 +156,7 @@
 	r.cfg.Counters.Add("restrictions_issued", 1)
 	eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "an operator")
 	r.recent.add(request)
-	r.publishOverrides(state, nil)
+	r.publishOverrides(state)
 	r.wakeWorkers()
 	return request, nil
 }
@@ -202,7 +204,7 @@
 	}
 	if len(added) > 0 {
 		r.pendingChanges++
-		r.publishOverrides(r.log.State(), nil)
+		r.publishOverrides(r.log.State())
 		r.wakeWorkers()
 	}
 	return len(added), nil
@@ -222,25 +224,21 @@
 	r.proposer.notify()
 }
 
-// publishOverrides passes the overrides that have changed in a state to the merger, and the update that results to OnUpdate. It
-// looks at the named servers and at all that have an override or had one. The caller must hold the mutex.
-func (r *Registry) publishOverrides(state *config.State, names []string) {
-	names = append(names, state.ServerIDs()...)
-	for _, request := range r.pending.List() {
-		names = append(names, request.Server)
-	}
-	for name := range r.publishedOverrides {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+// publishOverrides passes the overrides that have changed in a state to the merger, and the update that results to
+// OnUpdate. What is in force follows from the state and the pending requests alone, however they came here. The caller
+// must hold the mutex.
+func (r *Registry) publishOverrides(state *config.State) {
 	changed := map[string]endpointmerge.Override{}
-	for _, name := range slices.Compact(names) {
+	for _, name := range r.overriddenServers(state) {
 		override := r.override(state, name)
 		if !r.publishedOverrides[name].Equal(override) {
 			changed[name] = override
 			r.publishedOverrides[name] = override
 		}
-		if override == (endpointmerge.Override{}) {
+		if state.Restriction(name) == restriction.Removed {
+			r.publishedRemovals[name] = true
+		}
+		if r.publishedRemovals[name] || override == (endpointmerge.Override{}) {
 			delete(r.publishedOverrides, name)
 		}
 	}
@@ -249,6 +247,24 @@
 	}
 }
 
+// overriddenServers returns the servers that have an override or had one when it was last published, sorted, except those
+// whose removal was published. The caller must hold the mutex.
+func (r *Registry) overriddenServers(state *config.State) []string {
+	names := state.ServerIDs()
+	for _, request := range r.pending.List() {
+		names = append(names, request.Server)
+	}
+	for name := range r.publishedOverrides {
+		names = append(names, name)
+	}
+	if state.RemovedCount() != len(r.publishedRemovals) { // the removals that were published are in the state
+		names = append(names, state.RemovedIDs()...)
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return r.publishedRemovals[name] })
+}
+
 // override returns the override of a server that is in effect here. The caller must hold the mutex.
 func (r *Registry) override(state *config.State, name string) endpointmerge.Override {
 	server, _ := state.Server(name)
