endpoints: a drain at an instance that joined the store reaches the others

Cause: only the leader proposes, and the broadcast went to the instances in one's own file alone, in which an instance that joins has itself. It did not know the founding members' addresses at all.

Change: the HTTP addresses of all members are replicated when one joins; the registry broadcasts to the store's present members that are not in its file, from when they join until they leave. An address in the file goes before the replicated one, so that a founding member whose address changes is found.

--- a/internal/daemon/endpoint_registry.go
+++ b/internal/daemon/endpoint_registry.go
@@ -50,6 +50,8 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		OnUpdate:    newEndpointFanout(r.core, r.names, r.shards).UpdateEndpoints,
 		Broadcast:   broadcast,
+		JoinedPeers: r.joinedPeers,
+		BroadcastTo: func(peer endpoints.Peer) endpoints.BroadcastFunc { return broadcastTo(c.ID, peer.Addr) },
 		Counters:    r.counters,
 		ResolveEndpoint: func(id string, spec config.ServerSpec) (coordinator.Endpoint, error) {
 			return resolveEndpoint(converter, id, spec)
@@ -58,6 +60,21 @@
 	return nil
 }
 
+// joinedPeers returns the other members of the store that are not in this instance's file.
+func (r *endpointRegistry) joinedPeers() (peers []endpoints.Peer) {
+	st := r.store.get()
+	if st == nil {
+		return nil
+	}
+	configured := r.cfg.Search.Store.Members
+	for _, m := range st.Members() {
+		if m.ID != st.ID() && m.HTTP != "" && !isMember(configured, m.ID) {
+			peers = append(peers, endpoints.Peer{ID: m.ID, Addr: m.HTTP})
+		}
+	}
+	return peers
+}
+
 func (r *endpointRegistry) run(ctx context.Context) {
 	if r.registry != nil {
 		r.registry.Run(ctx)
--- a/internal/endpoints/broadcast.go
+++ b/internal/endpoints/broadcast.go
@@ -12,6 +12,14 @@
 // broadcastTimeout limits one call of a BroadcastFunc.
 const broadcastTimeout = 300 * time.Millisecond
 
+// newBroadcaster returns a worker that sends another instance all requests until it has acknowledged them.
+func (r *Registry) newBroadcaster(id string, send BroadcastFunc) *worker {
+	acknowledged := map[restriction.ID]bool{}
+	return newWorker(r.requestsToBroadcast, func(ctx context.Context, requests []restriction.Request) {
+		r.broadcast(ctx, id, send, requests, acknowledged)
+	})
+}
+
 // requestsToBroadcast returns the requests that the other instances must receive: the pending and the recent ones, none
 // before Attach.
 func (r *Registry) requestsToBroadcast() []restriction.Request {
--- a/internal/endpoints/registry.go
+++ b/internal/endpoints/registry.go
@@ -16,7 +16,7 @@
 // Registry is an instance's list of servers. Its methods are safe for concurrent use.
 type Registry struct {
 	cfg          Config
-	broadcasters []*worker // one for each other instance
+	broadcasters []*worker // one for each other instance in Config.Broadcast
 	proposer     *worker
 	saving       chan struct{} // has an element while the pending requests are written to disk; capacity 1
 
@@ -25,7 +25,8 @@
 	merger             *endpointmerge.Merger
 	log                ReplicatedLog                     // nil until Attach
 	publishedOverrides map[string]endpointmerge.Override // by server: those last given to the merger, without empty ones
-	publishedRemovals  map[string]bool                   // servers removed by the log, for good, as given to the merger
+	joined             map[Peer]*joinedPeer
+	publishedRemovals  map[string]bool // servers removed by the log, for good, as given to the merger
 	recent             recentRequests
 	pendingChanges     uint64 // number of times that requests became pending
 	savedChanges       uint64 // pendingChanges at the last save
@@ -40,16 +41,13 @@
 		pending:            restriction.NewPendingSet(origin),
 		merger:             endpointmerge.New(),
 		publishedOverrides: map[string]endpointmerge.Override{},
+		joined:             map[Peer]*joinedPeer{},
 		publishedRemovals:  map[string]bool{},
 		recent:             recentRequests{},
 		saving:             make(chan struct{}, 1),
 	}
 	for id, send := range c.Broadcast {
-		acknowledged := map[restriction.ID]bool{}
-		handle := func(ctx context.Context, requests []restriction.Request) {
-			r.broadcast(ctx, id, send, requests, acknowledged)
-		}
-		r.broadcasters = append(r.broadcasters, newWorker(r.requestsToBroadcast, handle))
+		r.broadcasters = append(r.broadcasters, r.newBroadcaster(id, send))
 	}
 	r.proposer = newWorker(r.requestsToPropose, r.propose)
 	return r
@@ -64,6 +62,9 @@
 		workers.Go(func() { w.run(ctx) })
 	}
 	workers.Go(func() { r.proposer.run(ctx) })
+	if r.cfg.JoinedPeers != nil {
+		workers.Go(func() { r.followJoinedPeers(ctx, &workers) })
+	}
 	workers.Wait()
 }
 
@@ -217,10 +218,14 @@
 	return r.pending.List()
 }
 
+// wakeWorkers wakes all workers. The caller must hold the mutex.
 func (r *Registry) wakeWorkers() {
 	for _, w := range r.broadcasters {
 		w.notify()
 	}
+	for _, peer := range r.joined {
+		peer.notify()
+	}
 	r.proposer.notify()
 }
 
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -48,11 +48,11 @@
 	}
 }
 
-// httpAddress returns a member's replicated HTTP address, or the configured one if none is replicated.
+// httpAddress returns a member's configured HTTP address, or the replicated one if none is configured.
 func (s *Store) httpAddress(id string) string {
-	if address, ok := s.State().MemberAddress(id); ok {
-		return address
+	if m, ok := s.config.member(id); ok && m.HTTP != "" {
+		return m.HTTP
 	}
-	m, _ := s.config.member(id)
-	return m.HTTP
+	address, _ := s.State().MemberAddress(id)
+	return address
 }
--- a/internal/store/membership.go
+++ b/internal/store/membership.go
@@ -47,20 +47,18 @@
 		return fmt.Errorf("%w: a member needs an id, a Raft address and an HTTP address", ErrUnknownMember)
 	}
 	exists, err := checkNewMember(members, m)
-	if err != nil || exists {
+	if err != nil {
+		return err
+	}
+	if err := s.replicateAddresses(ctx, members); err != nil || exists {
 		return err
 	}
 	if len(members) >= MaxMembers {
 		return fmt.Errorf("%w: at most %d members are allowed", ErrUnknownMember, MaxMembers)
 	}
-	command := config.Command{Kind: config.SetMemberAddress, Server: m.ID, Payload: []byte(m.HTTP)}
-	result, err := s.Propose(ctx, command)
-	if err != nil {
+	if err := s.replicateAddress(ctx, m); err != nil {
 		return err
 	}
-	if result.Reason != config.Applied {
-		return fmt.Errorf("%w: %s: %s", ErrUnknownMember, result.Reason, result.Detail)
-	}
 	// The replicated address does no harm if the next step fails; a retry continues from here.
 	if err := checkContext(ctx, operation); err != nil {
 		return halfDone(operation, err)
@@ -78,6 +76,33 @@
 	return fmt.Errorf("store: %s: half of it is done: %w: %w", operation, ErrOutcomeUnknown, err)
 }
 
+// replicateAddresses replicates the HTTP addresses of members that only the instances' files have so far: an instance that
+// joins has itself alone in its file, and sends the others its drains.
+func (s *Store) replicateAddresses(ctx context.Context, members []MemberStatus) error {
+	for _, m := range members {
+		if _, known := s.State().MemberAddress(m.ID); known || m.HTTP == "" {
+			continue
+		}
+		if err := s.replicateAddress(ctx, m.Member); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replicateAddress replicates the HTTP address of a member.
+func (s *Store) replicateAddress(ctx context.Context, m Member) error {
+	command := config.Command{Kind: config.SetMemberAddress, Server: m.ID, Payload: []byte(m.HTTP)}
+	result, err := s.Propose(ctx, command)
+	if err != nil {
+		return err
+	}
+	if result.Reason != config.Applied {
+		return fmt.Errorf("%w: %s: %s", ErrUnknownMember, result.Reason, result.Detail)
+	}
+	return nil
+}
+
 // checkNewMember reports whether a member exists already. It returns an error if its id is in use at another Raft
 // address, or its Raft address under another id: a member that lost its disk must not vote again under an id that has
 // already voted.
--- a/internal/store/membership_test.go
+++ b/internal/store/membership_test.go
@@ -86,6 +86,8 @@
 	c.patch(windowPatch(8))
 	c.awaitWindow(8)
 	requireVoters(t, s, 4)
+	// The instance that joined has itself alone in its file, and broadcasts its drains to all members.
+	requireVoters(t, joined, 4)
 
 	stopped := (leader + 1) % 3
 	c.stop(stopped)
