endpoints: an added server that discovery told gone stays out of service after a restart

Cause: the merger kept in memory alone which added servers are gone; that a server was added was then taken for a sign that it runs.

Change: they are written to the store's disk with the specification that they had, and restored before the overrides at a start and by a process that reads another one's files. Discovery's listing or a new specification ends it, as before.

--- a/internal/config/endpointmerge/merger.go
+++ b/internal/config/endpointmerge/merger.go
@@ -14,9 +14,10 @@
 	discovered map[string]coordinator.Endpoint
 	overrides  map[string]Override
 	merged     map[string]coordinator.Endpoint
-	// gone has the added servers that discovery has told gone since they were added. They stay out of service until
-	// discovery lists them again or a command changes their endpoint: that they were added does not tell that they run.
-	gone       map[string]bool
+	// gone has the added servers that discovery has told gone since they were added, with the endpoints that they were
+	// added with. They stay out of service until discovery lists them again or a command changes their endpoint: that they
+	// were added does not tell that they run.
+	gone       map[string]coordinator.Endpoint
 	onlyCached bool // discovery has sent nothing yet, or only a cached list from before this process
 }
 
@@ -26,7 +27,7 @@
 		discovered: map[string]coordinator.Endpoint{},
 		overrides:  map[string]Override{},
 		merged:     map[string]coordinator.Endpoint{},
-		gone:       map[string]bool{},
+		gone:       map[string]coordinator.Endpoint{},
 		onlyCached: true,
 	}
 }
@@ -94,8 +95,21 @@
 
 // setGone records that discovery has told a server gone, if a command has added it.
 func (m *Merger) setGone(name string) {
-	if m.overrides[name].Added != nil {
-		m.gone[name] = true
+	if added := m.overrides[name].Added; added != nil {
+		m.gone[name] = *added
+	}
+}
+
+// Gone returns the added servers that discovery has told gone, sorted.
+func (m *Merger) Gone() []string { return slices.Sorted(maps.Keys(m.gone)) }
+
+// RestoreGone restores what Gone returned in an earlier process, with the endpoints that the servers were added with. It
+// must be called before ApplyOverrides adds them, which ignores a server whose endpoint has changed since.
+func (m *Merger) RestoreGone(endpoints map[string]coordinator.Endpoint) {
+	for name, endpoint := range endpoints {
+		if _, listed := m.discovered[name]; !listed && m.overrides[name].Added == nil {
+			m.gone[name] = endpoint
+		}
 	}
 }
 
@@ -120,7 +134,7 @@
 	names := make([]string, 0, len(overrides))
 	for name, override := range overrides {
 		names = append(names, name)
-		if !sameEndpoint(override.Added, m.overrides[name].Added) {
+		if gone, ok := m.gone[name]; ok && !sameEndpoint(override.Added, &gone) {
 			delete(m.gone, name)
 		}
 		if override == (Override{}) {
@@ -156,7 +170,7 @@
 func (m *Merger) merge(name string) (coordinator.Endpoint, bool) {
 	endpoint, listed := m.discovered[name]
 	override := m.overrides[name]
-	if !listed && override.Added != nil && !m.gone[name] {
+	if _, gone := m.gone[name]; !listed && !gone && override.Added != nil {
 		endpoint, listed = *override.Added, true
 	}
 	if !listed || override.Restriction == restriction.Removed {
--- a/internal/daemon/store_observer.go
+++ b/internal/daemon/store_observer.go
@@ -103,6 +103,6 @@
 		return
 	}
 	o.settings.setSource(disk.State.Settings)
-	o.registry.registry.Observe(disk.State, disk.Pending)
+	o.registry.registry.Observe(disk.State, disk.Pending, disk.Gone)
 	eventlog.StoreObserved.Log(disk.State.Version(), len(disk.Pending))
 }
--- a/internal/endpoints/network_test.go
+++ b/internal/endpoints/network_test.go
@@ -227,3 +227,6 @@
 	}
 	return l.n.replicate(), nil
 }
+
+func (nodeLog) SaveGone(GoneServers) error     { return nil }
+func (nodeLog) LoadGone() (GoneServers, error) { return nil, nil }
--- a/internal/endpoints/observe_test.go
+++ b/internal/endpoints/observe_test.go
@@ -62,7 +62,7 @@
 		restrict(1, "drained", restriction.Draining),
 		restrict(2, "removed", restriction.Removed),
 		config.Command{Kind: config.SetServerWeight, Server: "weighted", Weight: 3})
-	r.Observe(state, []restriction.Request{*requestOf(3, "pending", restriction.Draining)})
+	r.Observe(state, []restriction.Request{*requestOf(3, "pending", restriction.Draining)}, nil)
 	for name, want := range map[string]coordinator.Endpoint{
 		"drained":  endpoint("drained", routing.Draining, 1),
 		"removed":  endpoint("removed", routing.Removed, 1),
@@ -80,7 +80,7 @@
 	undrain := config.Command{Kind: config.UndrainServer, Server: "drained"}
 	withdraw := config.Command{Kind: config.UndrainServer, Server: "pending",
 		WithdrawnIDs: []restriction.ID{requestOf(3, "pending", restriction.Draining).ID}}
-	r.Observe(applyAll(t, state, undrain, withdraw), nil)
+	r.Observe(applyAll(t, state, undrain, withdraw), nil, nil)
 	for _, name := range []string{"drained", "pending"} {
 		if list[name].State != routing.Ready {
 			t.Errorf("%s after it was undrained = %+v, want it ready", name, list[name])
--- a/internal/endpoints/paths_test.go
+++ b/internal/endpoints/paths_test.go
@@ -100,12 +100,12 @@
 				i.LogApplied()
 			}
 			if rapid.Bool().Draw(t, "observe") {
-				observing.Observe(state, nil)
+				observing.Observe(state, nil, nil)
 			}
 		}
 		bySnapshot.log.state = state
 		bySnapshot.LogApplied()
-		observing.Observe(state, nil)
+		observing.Observe(state, nil, nil)
 		restarted := newInstance(state)
 		restarted.Attach(restarted.log)
 		removals += state.RemovedCount()
@@ -127,3 +127,6 @@
 		t.Error("no run removed a server")
 	}
 }
+
+func (*stateLog) SaveGone(GoneServers) error     { return nil }
+func (*stateLog) LoadGone() (GoneServers, error) { return nil, nil }
--- a/internal/endpoints/registry.go
+++ b/internal/endpoints/registry.go
@@ -18,6 +18,7 @@
 	cfg          Config
 	broadcasters []*worker // one for each other instance in Config.Broadcast
 	proposer     *worker
+	goneSaver    *goneSaver
 	saving       chan struct{} // has an element while the pending requests are written to disk; capacity 1
 
 	mu                 sync.Mutex // guards the fields below, and orders the calls of OnUpdate
@@ -50,6 +51,7 @@
 		r.broadcasters = append(r.broadcasters, r.newBroadcaster(id, send))
 	}
 	r.proposer = newWorker(r.requestsToPropose, r.propose)
+	r.goneSaver = newGoneSaver(r.goneToSave)
 	return r
 }
 
@@ -62,6 +64,7 @@
 		workers.Go(func() { w.run(ctx) })
 	}
 	workers.Go(func() { r.proposer.run(ctx) })
+	workers.Go(func() { r.goneSaver.run(ctx) })
 	if r.cfg.JoinedPeers != nil {
 		workers.Go(func() { r.followJoinedPeers(ctx, &workers) })
 	}
@@ -75,9 +78,14 @@
 	if err != nil {
 		eventlog.StoreFailed.Log(err)
 	}
+	gone, err := log.LoadGone()
+	if err != nil {
+		eventlog.StoreFailed.Log(err)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.log = log
+	r.restoreGone(gone)
 	restored := r.pending.Receive(log.State(), pending...)
 	r.cfg.Counters.Add("restrictions_restored", int64(len(restored)))
 	for _, request := range restored {
@@ -87,14 +95,16 @@
 	r.wakeWorkers()
 }
 
-// Observe applies the overrides in the state of another process of this instance, which has the log open, and the requests
-// that are pending there; that process broadcasts and proposes them. After Attach it does nothing.
-func (r *Registry) Observe(state *config.State, pending []restriction.Request) {
+// Observe applies the overrides in the state of another process of this instance, which has the log open, the requests
+// that are pending there and the added servers that are gone; that process broadcasts, proposes and saves them. After
+// Attach it does nothing.
+func (r *Registry) Observe(state *config.State, pending []restriction.Request, gone GoneServers) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.log != nil {
 		return
 	}
+	r.restoreGone(gone)
 	for _, request := range r.pending.Receive(state, pending...) {
 		eventlog.RestrictionReceived.Log(request.ID, request.Server, request.Level, "the other process")
 	}
@@ -107,6 +117,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cfg.OnUpdate(r.merger.ApplyDiscovery(update))
+	r.goneSaver.notify()
 }
 
 // LogApplied must be called each time the instance has applied more of the log. It drops the pending requests that the
@@ -250,6 +261,7 @@
 	if update := r.merger.ApplyOverrides(changed); len(update.Endpoints) > 0 {
 		r.cfg.OnUpdate(update)
 	}
+	r.goneSaver.notify()
 }
 
 // overriddenServers returns the servers that have an override or had one when it was last published, sorted, except those
--- a/internal/endpoints/save_test.go
+++ b/internal/endpoints/save_test.go
@@ -136,3 +136,6 @@
 		close(log.hang)
 	})
 }
+
+func (diskLog) SaveGone(GoneServers) error     { return nil }
+func (diskLog) LoadGone() (GoneServers, error) { return nil, nil }
--- a/internal/endpoints/wire_golden_test.go
+++ b/internal/endpoints/wire_golden_test.go
@@ -114,3 +114,6 @@
 		t.Errorf("pending requests = %+v, want %+v", got, goldenRequests)
 	}
 }
+
+func (followerLog) SaveGone(GoneServers) error     { return nil }
+func (followerLog) LoadGone() (GoneServers, error) { return nil, nil }
--- a/internal/store/disk_reader.go
+++ b/internal/store/disk_reader.go
@@ -24,11 +24,12 @@
 // errLogChanges is returned if the log was written to during each attempt to copy it.
 var errLogChanges = errors.New("store: the log changes faster than it can be copied")
 
-// DiskState is what an instance's files say: the state that it has applied, and the restriction requests that are
-// pending there. Whatever an instance has acknowledged or acted on is in its files.
+// DiskState is what an instance's files say: the state that it has applied, the restriction requests that are pending
+// there, and the added servers that are gone. Whatever an instance has acknowledged or acted on is in its files.
 type DiskState struct {
 	State   *config.State
 	Pending []restriction.Request
+	Gone    map[string]config.ServerSpec
 }
 
 // DiskReader reads the files of an instance that another process has open, any version of the program that keeps the
@@ -84,12 +85,15 @@
 	if err != nil {
 		return DiskState{}, err
 	}
-	pending, err := loadPending(bolt)
-	if err != nil {
+	disk := DiskState{State: restored.state}
+	if err := loadJSON(bolt, keyPending, &disk.Pending); err != nil {
+		return DiskState{}, err
+	}
+	if err := loadJSON(bolt, keyGone, &disk.Gone); err != nil {
 		return DiskState{}, err
 	}
 	r.last = restored
-	return DiskState{State: restored.state, Pending: pending}, nil
+	return disk, nil
 }
 
 // logPath returns the path of the log's file.
--- a/internal/store/pending_test.go
+++ b/internal/store/pending_test.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"testing"
 
+	"linkpass/internal/config"
 	"linkpass/internal/config/restriction"
 )
 
@@ -24,3 +25,19 @@
 		t.Errorf("LoadPending after a restart = %+v, error %v; want %+v", got, err, want)
 	}
 }
+
+func TestGoneServersSurviveRestart(t *testing.T) {
+	m := newSingleMember(t)
+	want := map[string]config.ServerSpec{"s-77": {Addr: "10.0.0.7:9000", Zone: "ebene", Cell: 3}}
+	if err := m.store.SaveGone(want); err != nil {
+		t.Fatal(err)
+	}
+	state, _, err := NewDiskReader(m.store.config).Read()
+	if err != nil || !reflect.DeepEqual(state.Gone, want) {
+		t.Errorf("read beside the store = %+v, error %v; want %+v", state.Gone, err, want)
+	}
+	m.restart()
+	if got, err := m.store.LoadGone(); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("LoadGone after a restart = %+v, error %v; want %+v", got, err, want)
+	}
+}
