--- a/internal/config/malformed_plan_test.go
+++ b/internal/config/malformed_plan_test.go
@@ -185,7 +185,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := next.CheckProposal(c.current); (err != nil) != c.rejected {
+			if err := next.CheckProposal(c.current, 0); (err != nil) != c.rejected {
 				t.Errorf("error = %v, want one: %v", err, c.rejected)
 			}
 		})
--- a/internal/daemon/search_front.go
+++ b/internal/daemon/search_front.go
@@ -11,6 +11,10 @@
 	"linkpass/internal/store"
 )
 
+// maxShardsPerMB is how many shards the settings may have for each MB of the platform's memory limit. A change of the
+// settings holds several copies of them at a time.
+const maxShardsPerMB = 500
+
 // searchFront is the component of the search front, and of the store if there is one. It is deferred, because the
 // predecessor of this process may still use its address and its files.
 type searchFront struct {
@@ -71,6 +75,7 @@
 	c := f.cfg.Search.Store
 	c.InitialSettings, c.OnSettingsChanged = f.settings.fromFile.Load(), f.shards.publisher.publish
 	c.OnApplied, c.ReportPosition = f.registry.registry.LogApplied, reportPosition
+	c.MaxShards = int(f.cfg.memoryMB) * maxShardsPerMB
 	c.LeaderVersion, c.MemberVersion = leaderVersion, memberVersion
 	s, err := store.Open(c)
 	if err != nil {
--- a/internal/searchconfig/config_test.go
+++ b/internal/searchconfig/config_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -169,3 +171,33 @@
 		}
 	}
 }
+
+// Guards against a document that takes more memory than the process may use, at each member and again at each start: the
+// slices of all indices together are limited where it is proposed. What has more already can be changed and removed.
+func TestProposedShardsAreLimited(t *testing.T) {
+	const limit = 5
+	spread := func(index string, shards int) []byte {
+		return fmt.Appendf(nil, `{"indices":{%q:{"class":"c","spread":{"slices":%d,"sets":[["a"]]}}}}`, index, shards)
+	}
+	first, err := (&Config{}).ProposePatch(spread("a", 3), limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.ProposePatch(spread("b", 2), limit); err != nil {
+		t.Errorf("%d slices: %v", limit, err)
+	}
+	for _, shards := range []int{3, 200_000, math.MaxInt} {
+		if _, err := first.ProposePatch(spread("b", shards), limit); !errors.Is(err, ErrInvalid) {
+			t.Errorf("3 and %d slices: error = %v, want ErrInvalid", shards, err)
+		}
+	}
+	large, err := first.Patch(spread("b", 30)) // as an earlier version of the program accepted
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, patch := range []string{`{"search.max_result_window":5}`, `{"indices":{"b":null}}`} {
+		if _, err := large.ProposePatch([]byte(patch), limit); err != nil {
+			t.Errorf("patch %s of a document above the limit: %v", patch, err)
+		}
+	}
+}
--- a/internal/searchconfig/parse.go
+++ b/internal/searchconfig/parse.go
@@ -17,10 +17,20 @@
 // ParseUpdate parses a complete document that follows an earlier one. Data that did not
 // change is shared with the earlier document; nil: there is none.
 func ParseUpdate(data []byte, earlier *Config) (*Config, error) {
+	return parseUpdate(data, earlier, nil)
+}
+
+// parseUpdate is ParseUpdate with a check of the document, unless it is nil, before its shard maps are built.
+func parseUpdate(data []byte, earlier *Config, check func(*Config) error) (*Config, error) {
 	c := &Config{}
 	if err := decode(data, c, true); err != nil {
 		return nil, err
 	}
+	if check != nil {
+		if err := check(c); err != nil {
+			return nil, err
+		}
+	}
 	if err := c.validateFields(); err != nil {
 		return nil, err
 	}
--- a/internal/searchconfig/patch.go
+++ b/internal/searchconfig/patch.go
@@ -13,7 +13,10 @@
 
 // Patch returns the document after a JSON merge patch (RFC 7396). A dotted key at the top
 // level of the patch is expanded to nested objects. The receiver is not changed.
-func (c *Config) Patch(patch []byte) (*Config, error) {
+func (c *Config) Patch(patch []byte) (*Config, error) { return c.patch(patch, nil) }
+
+// patch is Patch with a check of the document, unless it is nil, before its shard maps are built.
+func (c *Config) patch(patch []byte, check func(*Config) error) (*Config, error) {
 	changes := map[string]any{}
 	if err := decode(patch, &changes, false); err != nil {
 		return nil, err
@@ -29,7 +32,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("searchconfig: encode patched document: %w", err)
 	}
-	next, err := ParseUpdate(data, c)
+	next, err := parseUpdate(data, c, check)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/searchconfig/validate.go
+++ b/internal/searchconfig/validate.go
@@ -19,7 +19,7 @@
 	if err := c.loadShardMaps(nil); err != nil {
 		return err
 	}
-	return c.CheckProposal(&Config{})
+	return c.CheckProposal(&Config{}, 0)
 }
 
 // validateFields checks everything except the contents of the shard maps. It visits names
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -52,6 +52,9 @@
 	// MemberVersion asks another member for the version of its state. If it is nil, an instance that starts with an empty
 	// directory takes the store for a new one, also if the others have run for long.
 	MemberVersion func(context.Context, Member) (uint64, error) `toml:"-"`
+	// MaxShards is the number of shards in all indices above which this instance proposes no settings with more; 0 means no
+	// limit. Settings that others propose are applied all the same.
+	MaxShards int `toml:"-"`
 	// Listener, if set, is used instead of a new listener on this member's Raft address. The store owns and closes it.
 	Listener net.Listener `toml:"-"`
 }
--- a/internal/store/settings.go
+++ b/internal/store/settings.go
@@ -17,11 +17,7 @@
 	}
 	return s.changeSettings(ctx, "patch settings", func(current *searchconfig.Config) (*config.Command, error) {
 		// Checked before the proposal, so that the log only holds patches that can be applied.
-		next, err := current.Patch(patch)
-		if err != nil {
-			return nil, err
-		}
-		if err := next.CheckProposal(current); err != nil {
+		if _, err := current.ProposePatch(patch, s.config.MaxShards); err != nil {
 			return nil, err
 		}
 		return &config.Command{Kind: config.PatchSettings, Payload: patch}, nil
@@ -42,7 +38,7 @@
 		if err != nil || next == current {
 			return nil, err
 		}
-		if err := next.CheckProposal(current); err != nil {
+		if err := next.CheckProposal(current, s.config.MaxShards); err != nil {
 			return nil, err
 		}
 		return replaceCommand(next)
