--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -42,7 +42,7 @@
 	b := &testbed{fleet: newFleet(t), signals: make(chan os.Signal)}
 	cfg := Config{name: "n0", listen: "127.0.0.1:0", adminListen: "127.0.0.1:0", discovery: b.addr, seed: 5, memoryMB: 192, sockets: 1024}
 	var err error
-	if cfg.routingSettings, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
+	if cfg.routingSettings, cfg.programSettings, err = settings.ParseJSON([]byte(settingsText)); err != nil {
 		t.Fatal(err)
 	}
 	cfg.initialEndpoints = discovery.EndpointList{Version: 0, Full: true}
--- a/internal/daemon/body_store.go
+++ b/internal/daemon/body_store.go
@@ -37,7 +37,7 @@
 }
 
 func (b *bodyStore) start() error {
-	limits, err := b.cfg.Search.Bodies.limits(b.cfg.memoryMB, b.cfg.host.Classes)
+	limits, err := b.cfg.Search.Bodies.limits(b.cfg.memoryMB, b.cfg.programSettings.Classes)
 	if err != nil {
 		return err
 	}
@@ -46,7 +46,7 @@
 		return nil
 	}
 	limits.Memory, limits.Files = b.shareOfTotal()
-	b.store = bodystore.Open(bodystore.Config{Limits: limits, Classes: b.cfg.host.Classes, Dir: b.cfg.Search.Bodies.Dir,
+	b.store = bodystore.Open(bodystore.Config{Limits: limits, Classes: b.cfg.programSettings.Classes, Dir: b.cfg.Search.Bodies.Dir,
 		Now: b.core.core.Now, Counters: b.counters})
 	return nil
 }
@@ -92,7 +92,7 @@
 func (b *bodyStore) newBodySink(req *http1.Request) http1.BodySink {
 	name, operation, _ := strings.Cut(strings.TrimPrefix(req.Path, "/"), "/")
 	index, ok := b.settings.config().Indices[name]
-	class := slices.Index(b.cfg.host.Classes, index.Class)
+	class := slices.Index(b.cfg.programSettings.Classes, index.Class)
 	if !ok || operation != "_search" || class < 0 {
 		return nil // a request other than a search is small, or is rejected
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -23,7 +23,7 @@
 	cores                   float64 // limit; 0: the platform sets none
 	initialEndpoints        discovery.EndpointList
 	routingSettings         routing.Settings
-	host                    settings.ProgramSettings
+	programSettings         settings.ProgramSettings
 	Search                  SearchConfig
 
 	fileDiscovery string              // the file's discovery address, whether the environment overrides it or not
@@ -101,10 +101,10 @@
 	if len(d.Settings) == 0 {
 		return fmt.Errorf("configuration %s: settings are missing", path)
 	}
-	if c.routingSettings, c.host, err = settings.ParseJSON(d.Settings); err != nil {
+	if c.routingSettings, c.programSettings, err = settings.ParseJSON(d.Settings); err != nil {
 		return fmt.Errorf("configuration %s: %w", path, err)
 	}
-	if c.host.MaxStreams <= 0 || c.host.ConnectTimeout <= 0 || c.routingSettings.Tick <= 0 {
+	if c.programSettings.MaxStreams <= 0 || c.programSettings.ConnectTimeout <= 0 || c.routingSettings.Tick <= 0 {
 		return fmt.Errorf("configuration %s: max_streams, connect_timeout and tick must be above 0", path)
 	}
 	return nil
@@ -114,7 +114,7 @@
 // joins all that it finds.
 func (c Config) Check() error {
 	var errs []error
-	if _, err := c.Search.Bodies.limits(c.memoryMB, c.host.Classes); err != nil {
+	if _, err := c.Search.Bodies.limits(c.memoryMB, c.programSettings.Classes); err != nil {
 		errs = append(errs, err)
 	}
 	seen := map[string]string{}
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	c, err := Load(env(write("good", valid)))
-	if err != nil || c.listen != "127.0.0.1:3" || c.seed != 0x8c1f || c.host.MaxStreams != 32 {
+	if err != nil || c.listen != "127.0.0.1:3" || c.seed != 0x8c1f || c.programSettings.MaxStreams != 32 {
 		t.Fatalf("configuration %+v, error %v; want the values of the file, and listen from the environment", c, err)
 	}
 	for _, path := range []string{"", filepath.Join(dir, "none"), write("cut", valid[:len(valid)/2]),
--- a/internal/daemon/discovery_watcher.go
+++ b/internal/daemon/discovery_watcher.go
@@ -45,8 +45,8 @@
 // coordinator.
 func newEndpointConverter(p *process, core *queryCore) *discovery.Converter {
 	return &discovery.Converter{
-		Zones:      p.cfg.host.Zones,
-		Kinds:      p.cfg.host.Kinds,
+		Zones:      p.cfg.programSettings.Zones,
+		Kinds:      p.cfg.programSettings.Kinds,
 		Cells:      p.cfg.routingSettings.Cells,
 		ToCoreTime: core.core.FromUnixMilli,
 	}
--- a/internal/daemon/golden_test.go
+++ b/internal/daemon/golden_test.go
@@ -164,7 +164,7 @@
 		fileDiscovery:    "127.0.0.1:8500",
 		initialEndpoints: goldenEndpoints(),
 		routingSettings:  goldenRoutingSettings(),
-		host: settings.ProgramSettings{
+		programSettings: settings.ProgramSettings{
 			Zones:             []string{"ebene"},
 			Kinds:             []string{"std-2core"},
 			Classes:           []string{"league-table"},
--- a/internal/daemon/platform_front.go
+++ b/internal/daemon/platform_front.go
@@ -38,8 +38,8 @@
 	f.names = openQueryNames(f.cfg.name)
 	handler := &platform.Front{
 		Core:       f.core.core,
-		Classes:    f.cfg.host.Classes,
-		Tenants:    f.cfg.host.Tenants,
+		Classes:    f.cfg.programSettings.Classes,
+		Tenants:    f.cfg.programSettings.Tenants,
 		ShardCount: f.cfg.routingSettings.Shards,
 		Counters:   f.counters,
 		Ready:      f.readiness.Ready,
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -35,7 +35,7 @@
 		cfg:       cfg,
 		startedAt: time.Now(),
 		counters:  metrics.NewCounters(),
-		totals:    metrics.NewTotals(cfg.host.Classes),
+		totals:    metrics.NewTotals(cfg.programSettings.Classes),
 		work:      fairqueue.New(runtime.GOMAXPROCS(0)),
 		memory:    membudget.New(math.MaxInt64),
 	}
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -77,20 +77,16 @@
 
 	stop := &shutdown{process: proc, core: core, fronts: fronts, limits: limits}
 	p := &Program{adminBackend: api.backend, limits: limits, discovery: watcher, admin: admin, shutdown: stop}
-	return p, []lifecycle.Component{
-		limits.component(),
-		core.component(),
-		bodies.component(),
-		upstreams.component(),
-		shards.component(),
-		registry.component(),
-		observer.component(),
-		watcher.component(),
-		platform.component(),
-		admin.component(),
-		search.component(),
-		api.component(),
+	return p, componentsOf(limits, core, bodies, upstreams, shards, registry, observer, watcher, platform, admin, search, api)
+}
+
+// componentsOf returns the components of the parts of a program, in their order.
+func componentsOf(parts ...interface{ component() lifecycle.Component }) []lifecycle.Component {
+	list := make([]lifecycle.Component, len(parts))
+	for i, part := range parts {
+		list[i] = part.component()
 	}
+	return list
 }
 
 // Counters returns the program's counters.
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -20,7 +20,7 @@
 	defer taken.Close()
 	t.Setenv("TMPDIR", t.TempDir())
 	cfg := Config{name: "n0", listen: "127.0.0.1:0", adminListen: taken.Addr().String(), discovery: "127.0.0.1:1", seed: 5, memoryMB: 192, sockets: 1024}
-	if cfg.routingSettings, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
+	if cfg.routingSettings, cfg.programSettings, err = settings.ParseJSON([]byte(settingsText)); err != nil {
 		t.Fatal(err)
 	}
 	if p, err := Start(cfg); err == nil || p != nil || !strings.Contains(err.Error(), "admin: listen") {
--- a/internal/daemon/query_core.go
+++ b/internal/daemon/query_core.go
@@ -36,7 +36,7 @@
 	c.core, err = coordinator.New(coordinator.Config{
 		Settings:           settings,
 		Seed:               c.cfg.seed,
-		HealthCheckTimeout: c.cfg.host.ConnectTimeout,
+		HealthCheckTimeout: c.cfg.programSettings.ConnectTimeout,
 		Counters:           c.counters,
 		Totals:             c.totals,
 		MailboxSize:        mailboxSize,
--- a/internal/daemon/reloader.go
+++ b/internal/daemon/reloader.go
@@ -105,7 +105,7 @@
 			return next, nil, err
 		}
 	}
-	if _, err = next.Search.Bodies.limits(next.memoryMB, r.cfg.host.Classes); err != nil {
+	if _, err = next.Search.Bodies.limits(next.memoryMB, r.cfg.programSettings.Classes); err != nil {
 		return next, nil, err
 	}
 	if running.Operator.Listen != "" && next.Search.Operator.Keys != "" {
@@ -156,7 +156,7 @@
 		running.Bodies.FilesKiB = next.Bodies.FilesKiB
 	}
 	// An error is ignored: the limits were validated when the file was read.
-	if limits, err := running.Bodies.limits(r.cfg.memoryMB, r.cfg.host.Classes); err == nil {
+	if limits, err := running.Bodies.limits(r.cfg.memoryMB, r.cfg.programSettings.Classes); err == nil {
 		r.bodies.setTotalLimits(limits)
 	}
 	if running.path != "" {
--- a/internal/daemon/search_front.go
+++ b/internal/daemon/search_front.go
@@ -101,7 +101,7 @@
 		front.SearchConfig = s.CaughtUpSettings
 		front.SettingsUpdater = searchSettings{s}
 	}
-	for i, name := range f.cfg.host.Classes {
+	for i, name := range f.cfg.programSettings.Classes {
 		class := f.cfg.routingSettings.Classes[i]
 		front.Classes = append(front.Classes, opensearch.Class{Name: name, Deadline: class.Deadline, PriorityWeight: class.PriorityWeight})
 	}
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -164,7 +164,7 @@
 	t.Setenv("TMPDIR", t.TempDir())
 	cfg := Config{name: fmt.Sprint("n", os.Getpid()), listen: "127.0.0.1:0", discovery: "127.0.0.1:1", seed: 5, memoryMB: 64, sockets: 256}
 	var err error
-	if cfg.routingSettings, cfg.host, err = settings.ParseJSON([]byte(settingsText)); err != nil {
+	if cfg.routingSettings, cfg.programSettings, err = settings.ParseJSON([]byte(settingsText)); err != nil {
 		t.Fatal(err)
 	}
 	p, err := Start(cfg)
--- a/internal/daemon/upstream_links.go
+++ b/internal/daemon/upstream_links.go
@@ -46,16 +46,16 @@
 		Counters:          u.counters,
 		Totals:            u.totals,
 		ConnLimiter:       u.connLimiter,
-		ConnectTimeout:    u.cfg.host.ConnectTimeout,
-		ServerIdleTimeout: u.cfg.host.ServerIdleTimeout,
+		ConnectTimeout:    u.cfg.programSettings.ConnectTimeout,
+		ServerIdleTimeout: u.cfg.programSettings.ServerIdleTimeout,
 	}
 	newConstructor := func(codec upstream.Codec) transport.Constructor {
 		return func(name, addr string) transport.Transport { return upstream.New(common, codec, name, addr) }
 	}
-	names := u.cfg.host.ReportNames
+	names := u.cfg.programSettings.ReportNames
 	return transport.Protocols{
 		Constructors: map[string]transport.Constructor{
-			searchconfig.ProtocolPlain:  newConstructor(frame.Codec{MaxStreams: u.cfg.host.MaxStreams, ReportNames: names}),
+			searchconfig.ProtocolPlain:  newConstructor(frame.Codec{MaxStreams: u.cfg.programSettings.MaxStreams, ReportNames: names}),
 			searchconfig.ProtocolSearch: newConstructor(opensearch.Codec{ReportNames: names}),
 		},
 		ForServer: func(server string) string { return u.settings.config().Protocol(server) },
--- a/internal/experiment/bodies.go
+++ b/internal/experiment/bodies.go
@@ -1,11 +1,9 @@
 package experiment
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"linkpass/internal/emulator"
@@ -66,18 +64,9 @@
 // seed are concurrent. RunBodies returns false if a rule was broken, and an error if a run could not start or a result
 // could not be written.
 func RunBodies(c BodiesConfig) (bool, error) {
-	var all []bodiesResult
-	for _, seed := range c.Seeds {
-		results, errs := make([]bodiesResult, len(bodiesRuns)), make([]error, len(bodiesRuns))
-		var runs sync.WaitGroup
-		for i := range bodiesRuns {
-			runs.Go(func() { results[i], errs[i] = runBodies(c, seed, i) })
-		}
-		runs.Wait()
-		if err := errors.Join(errs...); err != nil {
-			return false, err
-		}
-		all = append(all, results...)
+	all, err := runSeeds(c.Seeds, len(bodiesRuns), func(seed uint64, i int) (bodiesResult, error) { return runBodies(c, seed, i) })
+	if err != nil {
+		return false, err
 	}
 	return reportBodies(c, all)
 }
--- a/internal/experiment/resharding.go
+++ b/internal/experiment/resharding.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -62,18 +61,9 @@
 // RunResharding changes shards under load. The runs of a seed are concurrent and get the same queries. RunResharding
 // returns false if a rule was broken, and an error if a run could not start or a result could not be written.
 func RunResharding(c ReshardingConfig) (bool, error) {
-	var all []reshardingResult
-	for _, seed := range c.Seeds {
-		results, errs := make([]reshardingResult, len(reshardingRuns)), make([]error, len(reshardingRuns))
-		var runs sync.WaitGroup
-		for i := range reshardingRuns {
-			runs.Go(func() { results[i], errs[i] = runResharding(c, seed, i) })
-		}
-		runs.Wait()
-		if err := errors.Join(errs...); err != nil {
-			return false, err
-		}
-		all = append(all, results...)
+	all, err := runSeeds(c.Seeds, len(reshardingRuns), func(seed uint64, i int) (reshardingResult, error) { return runResharding(c, seed, i) })
+	if err != nil {
+		return false, err
 	}
 	return reportResharding(c, all)
 }
