--- a/internal/frame/wire_golden_test.go
+++ b/internal/frame/wire_golden_test.go
@@ -28,8 +28,8 @@
 		{Name: "call without time and text", Data: string(plain.EncodeRequest([]upstream.Part{urgent}))},
 		{Name: "head of a call of 100000 bytes", Data: string(plain.EncodeHeader(part, 100000))},
 		{Name: "cancel", Data: string(plain.EncodeCancel(part.Name))},
-		{Name: "probe", Data: string(plain.EncodeHealthCheck())},
-		{Name: "probe for load", Data: string(withReport.EncodeHealthCheck())},
+		{Name: "probe", Data: string(plain.EncodeHealthCheck("check-7"))},
+		{Name: "probe for load", Data: string(withReport.EncodeHealthCheck("check-7"))},
 	})
 }
 
--- a/internal/opensearch/codec_golden_test.go
+++ b/internal/opensearch/codec_golden_test.go
@@ -35,7 +35,7 @@
 		{"server_part_plain.http", codec.EncodeRequest([]upstream.Part{platformPart})},
 		{"server_head_fixed.http", codec.EncodeHeader(fixed, 123456)},
 		{"server_head_layout.http", codec.EncodeHeader(dynamic, 123456)},
-		{"server_probe.http", codec.EncodeHealthCheck()},
+		{"server_probe.http", codec.EncodeHealthCheck("check-7")},
 	} {
 		t.Run(c.file, func(t *testing.T) { goldentest.Bytes(t, c.file, sortedHead(t, c.got)) })
 	}
--- a/internal/opensearch/codec_request.go
+++ b/internal/opensearch/codec_request.go
@@ -70,8 +70,9 @@
 func (Codec) EncodeCancel(string) []byte { return nil }
 
 // EncodeHealthCheck encodes a request for the server's name and version.
-func (Codec) EncodeHealthCheck() []byte {
+func (Codec) EncodeHealthCheck(name string) []byte {
 	var b bytes.Buffer
-	_ = http1.WriteRequest(&b, "GET", "/", hostValue, nil, nil) // a buffer returns no error
+	header := textproto.MIMEHeader{headerPartName: {name}}
+	_ = http1.WriteRequest(&b, "GET", "/", hostValue, header, nil) // a buffer returns no error
 	return b.Bytes()
 }
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -24,8 +24,8 @@
 	// HealthCheck is true if the message is the reply to a health check. In a protocol with exclusive connections, it
 	// is true if the message cannot be the reply to a part.
 	HealthCheck bool
-	// Name is the name of the part that the message replies to. In a protocol with exclusive connections, it is empty if
-	// the server did not repeat the name.
+	// Name is the name of the part or health check that the message replies to. It is empty if the protocol has no names
+	// for health checks, or, in one with exclusive connections, if the server did not repeat the name.
 	Name            string
 	Outcome         outcome.Outcome
 	LoadReport      []float64 // in the order of the configured fields; nil: none
@@ -56,7 +56,8 @@
 	EncodeHeader(part Part, size int64) []byte
 	// EncodeCancel encodes the cancellation of the part with that name. It is not called if Limits.Exclusive is set.
 	EncodeCancel(name string) []byte
-	EncodeHealthCheck() []byte
+	// EncodeHealthCheck encodes a health check with a name that no part has.
+	EncodeHealthCheck(name string) []byte
 	NewReader(io.Reader) Reader
 }
 
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -48,6 +48,11 @@
 	conn.endedNames = append(conn.endedNames, name)
 }
 
+// awaitsCheck reports whether the health check of that name is the next one whose reply is awaited.
+func (conn *connection) awaitsCheck(name string) bool {
+	return len(conn.healthChecks) > 0 && checkName(conn.healthChecks[0]) == name
+}
+
 // usedStreams returns the number of the connection's streams that are in use or reserved, out of Limits.MaxStreams.
 func (c *Client) usedStreams(conn *connection) int {
 	if c.limits.Exclusive {
--- a/internal/upstream/health_check.go
+++ b/internal/upstream/health_check.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"linkpass/internal/coordinator"
@@ -9,6 +11,7 @@
 )
 
 const (
+	checkNamePrefix = "check-"
 	maxHealthChecks = 512 // in flight on a connection, including abandoned ones
 
 	// unresponsiveDivisor sets when a connection counts as unresponsive: if nothing is read from it for
@@ -16,6 +19,14 @@
 	unresponsiveDivisor = 5
 )
 
+// checkName returns the name of a health check. The name of a part has a dot.
+func checkName(number uint64) string { return checkNamePrefix + strconv.FormatUint(number, 10) }
+
+// isCheckName reports whether a reply has the name of a health check.
+func isCheckName(name string) bool {
+	return strings.HasPrefix(name, checkNamePrefix) && !strings.Contains(name, ".")
+}
+
 func (c *Client) writeHealthCheck(conn *connection, number uint64) {
 	if len(conn.healthChecks) >= maxHealthChecks {
 		c.endHealthCheck(number, outcome.QueueFull)
@@ -25,7 +36,7 @@
 	if !conn.checkPending {
 		conn.checkPending, conn.checkSentAt = true, c.config.Sink.Now()
 	}
-	c.write(conn, c.codec.EncodeHealthCheck())
+	c.write(conn, c.codec.EncodeHealthCheck(checkName(number)))
 }
 
 func (c *Client) endHealthCheck(number uint64, o outcome.Outcome) {
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -95,7 +95,9 @@
 func (c *Client) handleReply(conn *connection, m *Message, at time.Duration) {
 	id, inFlight := conn.inFlight[m.Name]
 	switch {
-	case m.HealthCheck && len(conn.healthChecks) > 0:
+	case isCheckName(m.Name) && !conn.awaitsCheck(m.Name):
+		c.config.Counters.Add("upstream_answers_late", 1)
+	case (m.HealthCheck || isCheckName(m.Name)) && len(conn.healthChecks) > 0:
 		number := conn.healthChecks[0]
 		conn.healthChecks = conn.healthChecks[1:]
 		c.config.Sink.HealthCheckEnded(number, m.result(at))
--- a/internal/upstream/reply_identity_test.go
+++ b/internal/upstream/reply_identity_test.go
@@ -30,7 +30,7 @@
 // startSearchClient returns a client of a server that speaks the search protocol.
 func startSearchClient(t *testing.T, srv *searchServer, s *sink) *upstream.Client {
 	t.Helper()
-	client := upstream.New(newConfig(s), opensearch.Codec{}, "s-1", srv.ln.Addr().String())
+	client := upstream.New(newConfig(s), opensearch.Codec{ReportNames: []string{"active"}}, "s-1", srv.ln.Addr().String())
 	t.Cleanup(func() { client.Close(); client.Wait() })
 	client.SetAcceptsWork(true)
 	return client
@@ -108,6 +108,40 @@
 	srv.wantRequest(t, "end")
 }
 
+// A second copy of the reply to a health check ends neither the next one nor the part in flight, whose own replies come
+// after it.
+func TestNamedHealthCheckReplyIsToldFromSecondCopy(t *testing.T) {
+	srv, s := startSearchServer(t), newSink()
+	client := startSearchClient(t, srv, s)
+	greet := func(netConn net.Conn, name, load string) {
+		_ = http1.WriteResponse(netConn, &http1.Response{Status: 200, Body: []byte(`{"name":"s-1"}`),
+			Header: map[string][]string{partNameHeader: {name}, "X-Server-Load": {"active=" + load}}})
+	}
+	client.CheckHealth(1)
+	srv.wantRequest(t, "/")
+	netConn := <-srv.conns
+	greet(netConn, "check-1", "1")
+	<-s.healthChecks
+	client.CheckHealth(2)
+	srv.wantRequest(t, "/")
+	greet(netConn, "check-1", "1")
+	greet(netConn, "check-2", "2")
+	if r := <-s.healthChecks; r.Outcome != outcome.Success || len(r.LoadReport) != 1 || r.LoadReport[0] != 2 {
+		t.Errorf("result of the second health check = %+v, want its own load report", r)
+	}
+	client.Send(attempt("a", 3, 0))
+	srv.wantRequest(t, "/_search")
+	greet(netConn, "check-2", "2")
+	answerSearch(t, netConn, "a.3", "of a")
+	s.wantHit(t, "of a")
+	client.CheckHealth(3)
+	srv.wantRequest(t, "/")
+	_ = http1.WriteResponse(netConn, &http1.Response{Status: 500, Header: map[string][]string{partNameHeader: {"check-3"}}})
+	if r := <-s.healthChecks; r.Outcome != outcome.ServerError {
+		t.Errorf("outcome of a failed health check = %s, want %s", r.Outcome, outcome.ServerError)
+	}
+}
+
 // Guards against a part that runs twice: a second copy of the rejection of its first attempt could be taken for that of
 // the next one. So an attempt at a part that must not run twice is not written to a connection that had an earlier one.
 func TestRetryOfNonIdempotentPartUsesAnotherConnection(t *testing.T) {
