store: a damaged copy of the log is an error of the process that reads beside another one

By reading: bbolt panics at a damaged file, and the new process of an upgrade reads a copy of the other one's log. A panic there is an error now, and the read is repeated. TestDiskReaderRejectsDamagedLog reads copies with each page damaged or cut.

--- a/internal/store/disk_reader.go
+++ b/internal/store/disk_reader.go
@@ -24,6 +24,9 @@
 // errLogChanges is returned if the log was written to during each attempt to copy it.
 var errLogChanges = errors.New("store: the log changes faster than it can be copied")
 
+// errLogDamaged is returned if bbolt cannot read the copy of the log.
+var errLogDamaged = errors.New("store: the copy of the log is damaged")
+
 // DiskState is what an instance's files say: the state that it has applied, the restriction requests that are pending
 // there, and the added servers that are gone. Whatever an instance has acknowledged or acted on is in its files.
 type DiskState struct {
@@ -60,18 +63,30 @@
 	case bytes.Equal(header, r.header):
 		return DiskState{State: r.last.state}, false, nil
 	}
-	bolt, header, err := r.openCopy()
-	if err != nil {
-		return DiskState{}, false, err
-	}
-	defer bolt.Close()
-	if state, err = r.readCopy(bolt); err != nil {
+	if state, header, err = r.readLog(); err != nil {
 		return DiskState{}, false, err
 	}
 	r.header = header
 	return state, true, nil
 }
 
+// readLog reads a copy of the log, and returns the header that the copy has. bbolt panics at a damaged file, which must
+// not end a process that only looks at it.
+func (r *DiskReader) readLog() (state DiskState, header []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("%w: %v", errLogDamaged, cause)
+		}
+	}()
+	bolt, header, err := r.openCopy()
+	if err != nil {
+		return DiskState{}, nil, err
+	}
+	defer bolt.Close()
+	state, err = r.readCopy(bolt)
+	return state, header, err
+}
+
 // readCopy reads the state from a copy of the log, and from the snapshots, which may be later than the copy.
 func (r *DiskReader) readCopy(bolt *raftboltdb.BoltStore) (DiskState, error) {
 	if r.snapshots == nil {
--- a/internal/store/disk_reader_test.go
+++ b/internal/store/disk_reader_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -128,3 +129,36 @@
 		}
 	}
 }
+
+// Files that are damaged are an error, and not the end of the process that looks at them; they are read again once they
+// change.
+func TestDiskReaderRejectsDamagedLog(t *testing.T) {
+	m := newSingleMember(t)
+	awaitLeader(t, m.store)
+	sound, err := os.ReadFile(filepath.Join(m.store.config.Dir, logFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	reader := NewDiskReader(Config{Dir: dir})
+	pages := len(sound) / os.Getpagesize()
+	for page := range pages {
+		damaged := bytes.Clone(sound)
+		for i := range os.Getpagesize() {
+			damaged[page*os.Getpagesize()+i] ^= 0x5a
+		}
+		for _, data := range [][]byte{damaged, sound[:page*os.Getpagesize()+1]} {
+			if err := os.WriteFile(filepath.Join(dir, logFile), data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, _, _ = reader.Read() // an error, or the state if it does not depend on the page
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, logFile), sound, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reader = NewDiskReader(Config{Dir: dir})
+	if state, _, err := reader.Read(); err != nil || state.State.Version() != m.store.State().Version() {
+		t.Errorf("sound files: error %v, state %+v", err, state.State)
+	}
+}
