--- a/internal/daemon/replicated_store.go
+++ b/internal/daemon/replicated_store.go
@@ -24,6 +24,13 @@
 	return nil
 }
 
+// discard closes a store that nothing is served from yet, so that it can be opened again.
+func (s *replicatedStore) discard() {
+	if opened := s.opened.Swap(nil); opened != nil {
+		_ = opened.Close()
+	}
+}
+
 // ConfirmLeader returns the term and the state of this instance after a quorum has confirmed that it leads the store.
 func (s *replicatedStore) ConfirmLeader(ctx context.Context) (store.LeaderState, error) {
 	opened := s.get()
@@ -33,7 +40,11 @@
 	return opened.ConfirmLeader(ctx)
 }
 
-// AdvanceShardMap proposes a step of a shard map. The store must be open; it is, because only a leader calls this.
+// AdvanceShardMap proposes a step of a shard map.
 func (s *replicatedStore) AdvanceShardMap(ctx context.Context, index string, c shardmap.Command) error {
-	return s.get().AdvanceShardMap(ctx, index, c)
+	opened := s.get()
+	if opened == nil {
+		return store.ErrNoLeader
+	}
+	return opened.AdvanceShardMap(ctx, index, c)
 }
--- a/internal/daemon/search_front.go
+++ b/internal/daemon/search_front.go
@@ -46,8 +46,7 @@
 	if f.cfg.Search.Listen == "" {
 		return nil, nil
 	}
-	ln, err := net.Listen("tcp", f.cfg.Search.Listen)
-	if err != nil {
+	if err := checkListen(f.cfg.Search.Listen); err != nil {
 		return nil, err
 	}
 	settingsHandler := opensearch.FixedSettingsHandler(f.settings.fromFile.Load)
@@ -56,11 +55,15 @@
 	} else {
 		s, err := f.openStore()
 		if err != nil {
-			_ = ln.Close()
 			return nil, err
 		}
 		settingsHandler = opensearch.StoreSettingsHandler(searchSettings{s}, f.counters)
 	}
+	ln, err := net.Listen("tcp", f.cfg.Search.Listen)
+	if err != nil {
+		f.store.discard()
+		return nil, err
+	}
 	front := f.fronts.add("search", ln, &memberHandler{registry: f.registry, front: f.handler(settingsHandler)}, []string{})
 	front.server.MaxBody = Keys.Int("bodies.max_body_kib", f.cfg.Search.Bodies.MaxKiB) << 10
 	if f.bodies.store != nil {
@@ -69,6 +72,16 @@
 	return front, nil
 }
 
+// checkListen returns an error if an address cannot be listened at. The store is opened only if it can; the listener
+// follows the store, so that the other members' calls are refused and do not wait while the store is being opened.
+func checkListen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	return ln.Close()
+}
+
 // openStore opens the store, which publishes the settings and the overrides that this instance had applied when it last
 // ran. They are in force once it is open, whether or not a leader is known.
 func (f *searchFront) openStore() (*store.Store, error) {
--- a/internal/daemon/store_observer.go
+++ b/internal/daemon/store_observer.go
@@ -81,6 +81,7 @@
 			o.mu.Unlock()
 		}
 	}
+	o.reader = nil // with the state that it holds
 }
 
 // read returns what the files say, or an error, which it logs; nil if nothing was written since the last read.
--- a/internal/frame/codec.go
+++ b/internal/frame/codec.go
@@ -40,7 +40,8 @@
 // EncodeCancel encodes a message that cancels the part with the given name.
 func (Codec) EncodeCancel(name string) []byte { return Append(nil, LetterCancel, []byte(name)) }
 
-// EncodeHealthCheck encodes a health check, which has no name in this protocol. It requests a load report if ReportNames is not empty.
+// EncodeHealthCheck encodes a health check, which has no name in this protocol. It requests a load report if ReportNames
+// is not empty.
 func (c Codec) EncodeHealthCheck(string) []byte {
 	if len(c.ReportNames) == 0 {
 		return Append(nil, LetterHealthCheck, nil)
--- a/internal/shardmap/plan_check.go
+++ b/internal/shardmap/plan_check.go
@@ -48,8 +48,8 @@
 }
 
 // CheckPlan checks that an open plan is one that a PlanRequest could have opened on this map: its old and its new shards
-// divide the same range of keys, and those that serve at its step are serving shards of the map. A malformed plan can
-// be abandoned, but must not be carried out.
+// divide the same range of keys, and those that serve at its step are serving shards of the map, with the same ranges. A
+// malformed plan can be abandoned, but must not be carried out.
 func (m *Map) CheckPlan(p Plan) error {
 	switch p.Step {
 	case Planned, Copying, Replicated, Switched:
@@ -69,7 +69,7 @@
 		serving = p.To
 	}
 	for _, s := range serving {
-		if current, ok := m.Shard(s.ID); !ok || !current.equal(s) {
+		if current, ok := m.Shard(s.ID); !ok || current.Range != s.Range {
 			return fmt.Errorf("%w: slice %d of plan %d does not serve as the plan describes it", ErrNotFound, s.ID, p.ID)
 		}
 	}
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -105,8 +105,8 @@
 		conn.recordEnded(m.Name)
 		c.config.Sink.AttemptEnded(id, m.result(at))
 	case m.HealthCheck || !slices.Contains(conn.endedNames, m.Name):
-		// A reply without a name, or with one that was never sent, is a corrupted reply to one of the parts in flight. Closing the
-		// connection ends them.
+		// A reply without a name, or with one that was never sent, is a corrupted reply to one of the parts in flight.
+		// Closing the connection ends them.
 		c.config.Counters.Add("upstream_messages_malformed", 1)
 		c.log.Log(eventlog.MessageMalformed, c.server, outcome.MalformedResponse,
 			"reply does not match any part or health check in flight")
