core: a step of the event loop that is slow or begins late is logged and counted

Change: event=core_step_slow with the step's lateness, the time for messages and for the turn, and the number of open queries, armed deadlines and samples in the router's windows; counters core_steps_slow and core_steps_late; event=query_overdue tells how long the query waited for the core and how late it was ended.

--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -33,6 +33,7 @@
 	stopped chan struct{} // closed by Run when it ends
 
 	overdueLog eventlog.RateLimited
+	steps      stepMonitor
 
 	deferred deferredQueue
 
@@ -75,24 +76,37 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	c.refreshEndpointCounts()
+	c.steps.wakeAt = c.Now()
 	for {
 		select {
 		case m := <-c.mailbox:
+			c.steps.begin(c.Now())
 			c.handle(m)
 			c.drainMailbox()
 		case <-c.deferred.wake:
+			c.steps.begin(c.Now())
 			c.handleDeferred()
 		case <-timer.C:
+			c.steps.begin(c.Now())
 		case <-ctx.Done():
 			c.stop()
 			return
 		}
+		c.finishStep()
 		now := c.Now()
-		if now >= c.lastTurn+c.settings.Tick {
-			c.turn(now)
-		}
-		timer.Reset(c.sleep(c.Now()))
+		sleep := c.sleep(now)
+		c.steps.wakeAt = now + sleep
+		timer.Reset(sleep)
+	}
+}
+
+// finishStep makes a turn if the latest one was at least Settings.Tick ago.
+func (c *Core) finishStep() {
+	now, events := c.Now(), len(c.events)
+	if now >= c.lastTurn+c.settings.Tick {
+		c.turn(now)
 	}
+	c.endStep(now, events)
 }
 
 // stop fails the open queries and unblocks the callers that wait for the event loop.
--- a/internal/coordinator/mailbox.go
+++ b/internal/coordinator/mailbox.go
@@ -61,6 +61,7 @@
 
 // handle processes one message.
 func (c *Core) handle(m message) {
+	c.steps.messages++
 	switch m := m.(type) {
 	case querySubmitted:
 		c.open(m.query)
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -15,6 +15,7 @@
 type query struct {
 	Query
 	id           routing.RequestID
+	openedAt     time.Duration // when the core took the query out of its mailbox
 	deadline     time.Duration // end of the client's timeout on the clock of Core.Now
 	parts        []*part
 	overdueTimer *deadline.Entry // fails the query if the router has not ended it
--- a/internal/coordinator/submit.go
+++ b/internal/coordinator/submit.go
@@ -45,6 +45,7 @@
 // open opens a query. The router gets the arrivals of the query and of its parts in the same turn.
 func (c *Core) open(q *query) {
 	now := c.Now()
+	q.openedAt = now
 	c.counters.Add("queries_received", 1)
 	c.lastRequestID++
 	c.lastNumber++
@@ -66,7 +67,8 @@
 // armOverdue arms a timer that fails the query AnswerSlack after its deadline, in case the router never ends it.
 func (c *Core) armOverdue(q *query) {
 	q.overdueTimer = c.deadlines.Arm(q.deadline+c.settings.AnswerSlack, func() {
-		c.overdueLog.Log(eventlog.QueryOverdue, q.Name, q.Class)
+		c.overdueLog.Log(eventlog.QueryOverdue, q.Name, q.Class, "queued_ms", (q.openedAt - q.StartedAt).Milliseconds(),
+			"late_ms", (c.Now() - q.deadline).Milliseconds())
 		c.counters.Add("queries_overdue", 1)
 		c.addEvent(routing.ClientDisconnected{ID: q.id})
 		c.finish(q, Answer{Status: Failed, TimedOut: true})
--- a/internal/eventlog/events_fronts.go
+++ b/internal/eventlog/events_fronts.go
@@ -52,8 +52,16 @@
 	})
 	QueryOverdue = register(Event{
 		Component: "core", Name: "query_overdue", Level: hclog.Error,
-		Fields:  []string{"query", "class"},
-		Meaning: "the router did not end a query by its deadline; the core failed it",
-		Action:  "this is a bug: keep the log and report it to the developers",
+		Fields: []string{"query", "class"},
+		Meaning: "the router did not end a query by its deadline; the core failed it, `late_ms` after the deadline. From the " +
+			"request's first byte until the core took it, `queued_ms` passed",
+		Action: "with `event=core_step_slow` at the same time see there; else this is a bug: keep the log and report it to the developers",
+	})
+	CoreStepSlow = register(Event{
+		Component: "core", Name: "core_step_slow", Level: hclog.Warn,
+		Fields: []string{"late_ms", "handle_ms", "turn_ms", "messages", "events", "queries", "deadlines", "samples"},
+		Meaning: "a step of the core's event loop began `late_ms` late, or took `handle_ms` for its `messages` and `turn_ms` for " +
+			"the router's turn with `events`; then there were open `queries`, armed `deadlines`, and `samples` in the router's windows",
+		Action: "large `late_ms` alone: the processor is used by others; large `handle_ms` or `turn_ms`: keep the log and report it",
 	})
 )
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -71,3 +71,20 @@
 	}
 	return true
 }
+
+// SampleCount returns the number of samples that the router's windows hold, for display only.
+func (r *Router) SampleCount() (count int) {
+	windows := []*slidingWindow{
+		r.retries.arrivals, r.retries.furtherAttempts, r.admission.valuesPerWork, r.checks.replyTimes,
+		r.results.load.serviceTimes, r.results.latencies.all, r.results.latencies.perUnitLoad,
+	}
+	windows = append(windows, r.results.latencies.byClass...)
+	windows = append(windows, r.admission.quotas.arrivals...)
+	for _, s := range r.endpoints.servers {
+		windows = append(windows, s.latency)
+	}
+	for _, w := range windows {
+		count += len(w.values)
+	}
+	return count
+}
