--- a/cmd/linkpass-lab/main.go
+++ b/cmd/linkpass-lab/main.go
@@ -21,12 +21,14 @@
 		Reshape reshapeCommand `cmd:"" help:"Change slices under load; compare with no changes, and with moved parts being refused."`
 		Bodies  bodiesCommand  `cmd:"" help:"Keep bodies in memory, in files or nowhere, while servers fail and pause."`
 		Faults  faultsCommand  `cmd:"" help:"Run a coordinator as a process under hostile clients, signals, stalls, resets and failing calls."`
+		Floods  floodsCommand  `cmd:"" help:"Flood coordinators that run as processes, for longer than their windows of statistics."`
 		Drains  drainsCommand  `cmd:"" help:"Drain servers at any of five coordinators, with and without a majority, and measure when each drain takes effect."`
 	} `cmd:"" help:"Run an experiment; its last line of output has the figures, and its exit status is 1 if a rule was broken."`
 	Demo demoCommand `cmd:"" help:"Run an emulated fleet, discovery and a coordinator to try."`
 	Hold holdCommand `cmd:"" hidden:""`
 
 	Hostile hostileCommand `cmd:"" help:"Run hostile clients against a coordinator on this machine."`
+	Sound   soundCommand   `cmd:"" hidden:""`
 
 	Fleet fleetCommand `cmd:"" help:"Run an emulated fleet and its discovery in the foreground, and print how to start a coordinator against it."`
 }
@@ -156,6 +158,52 @@
 	}))
 }
 
+type floodsCommand struct {
+	Seed     uint64        `help:"Seed." default:"1"`
+	Flood    time.Duration `help:"Duration of each flood." default:"30s"`
+	Quiet    time.Duration `help:"Time from a flood's end until memory is measured." default:"30s"`
+	Only     []string      `help:"Names of the floods; if not set, all run."`
+	Core     int           `help:"The processor core that the coordinators share; -1: any." default:"-1"`
+	Members  int           `help:"Number of coordinators, which are members of one store." default:"1"`
+	Programs string        `help:"Directory of the programs." default:"bin"`
+}
+
+// Run runs the experiment.
+func (c *floodsCommand) Run() error {
+	return checkRules(experiment.RunFloods(experiment.FloodsConfig{
+		Programs: c.Programs,
+		Seed:     c.Seed,
+		Flood:    c.Flood,
+		Quiet:    c.Quiet,
+		Only:     c.Only,
+		Core:     c.Core,
+		Members:  c.Members,
+	}))
+}
+
+type soundCommand struct {
+	Target    string        `arg:"" help:"Address of the platform's front (host:port); it must be a loopback address."`
+	Name      string        `help:"Prefix of the queries' names." default:"sound"`
+	Clients   int           `help:"Number of clients." default:"4"`
+	Parts     int           `help:"Parts of a query." default:"1"`
+	Pause     time.Duration `help:"Time between an answer and the next query." default:"20ms"`
+	Timeout   time.Duration `help:"Timeout of a query." default:"500ms"`
+	Reconnect bool          `help:"Open a connection for each query."`
+}
+
+// Run runs the clients. The command "run floods" runs it in separate processes.
+func (c *soundCommand) Run() error {
+	return experiment.RunSoundClients(experiment.SoundConfig{
+		Target:    c.Target,
+		Name:      c.Name,
+		Clients:   c.Clients,
+		Parts:     c.Parts,
+		Pause:     c.Pause,
+		Timeout:   c.Timeout,
+		Reconnect: c.Reconnect,
+	})
+}
+
 type demoCommand struct {
 	Seed uint64 `help:"Seed." default:"1"`
 	Log  string `help:"File for the coordinator's log lines; if not set, they are discarded."`
--- a/internal/experiment/coordinator_process.go
+++ b/internal/experiment/coordinator_process.go
@@ -6,18 +6,24 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"linkpass/internal/emulator"
+	"linkpass/internal/experiment/hostile"
 )
 
 // Limits and sizes of a coordinatorProcess.
 const (
 	processServers     = 6
+	processCores       = 2 // of a league server
+	processQueue       = 64
 	processWorkPerPart = 20 * time.Millisecond
 	processMemoryMB    = 64
 	processSockets     = 1024
@@ -32,6 +38,8 @@
 	memoryMB int
 	sockets  int
 	search   bool // whether the search front is on; it takes half of the clients' descriptors
+	// workPerPart is the mean work of a part at a league server; 0: processWorkPerPart.
+	workPerPart time.Duration
 }
 
 // processFleet is an emulated fleet whose coordinators run as processes of their own.
@@ -40,6 +48,8 @@
 	dir    string // of the coordinators' files, and their TMPDIR; close removes it
 	limits processLimits
 	binary string // path of the program linkpass
+	store  string // further lines of the search front's file, for the replicated store
+	core   *int   // the only processor core that the coordinators may use; nil: any
 
 	platformAddr, searchAddr, adminAddr string
 }
@@ -55,7 +65,10 @@
 	if f.dir, err = os.MkdirTemp("", "linkpass-process-"); err != nil {
 		return f, fmt.Errorf("experiment: create a directory for a coordinator: %w", err)
 	}
-	capacity := emulator.Capacity{Cores: 2, WorkPerPart: processWorkPerPart, Queue: 64}
+	capacity := emulator.Capacity{Cores: processCores, WorkPerPart: processWorkPerPart, Queue: processQueue}
+	if limits.workPerPart > 0 {
+		capacity.WorkPerPart = limits.workPerPart
+	}
 	if f.fleet, err = emulator.NewFleet(processServers, 0, capacity, seed); err != nil {
 		return f, err
 	}
@@ -77,12 +90,12 @@
 	if err != nil {
 		return err
 	}
-	cfg := worldConfig{coordinators: 1, maxOpen: processMaxOpen}
+	cfg := worldConfig{coordinators: 1, maxOpen: processMaxOpen, fixedShards: hostile.Shards}
 	platform := fmt.Sprintf(`{"name":"n0","listen":%q,"operator":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
 		f.platformAddr, f.adminAddr, f.fleet.Discovery.Addr(), seed, f.limits.memoryMB, f.limits.sockets, endpointList, platformSettings(cfg))
 	search := ""
 	if f.limits.search {
-		search = fmt.Sprintf("listen = %q\n[indices.players]\nclass = \"team-lookup\"\nslices = [0]\n", f.searchAddr)
+		search = fmt.Sprintf("listen = %q\n[indices.players]\nclass = \"team-lookup\"\nslices = [0]\n%s", f.searchAddr, f.store)
 	}
 	return writeFiles(map[string]string{f.platformPath(): platform, f.searchPath(): search})
 }
@@ -110,7 +123,7 @@
 		p.cmd.Env = append(p.cmd.Env, fmt.Sprintf("ROUTER_LISTEN_FD=%d", inheritedFD), "ROUTER_OPERATOR=127.0.0.1:0")
 	}
 	p.cmd.Stderr = &p.log
-	if err := p.cmd.Start(); err != nil {
+	if err := f.startPinned(p.cmd); err != nil {
 		return nil, fmt.Errorf("experiment: start a coordinator: %w", err)
 	}
 	go func() {
@@ -124,6 +137,25 @@
 	return p, nil
 }
 
+// startPinned starts a process on the fleet's core.
+func (f *processFleet) startPinned(cmd *exec.Cmd) error {
+	if f.core == nil {
+		return cmd.Start()
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var before, only unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &before); err != nil {
+		return fmt.Errorf("read the cores of the process: %w", err)
+	}
+	only.Set(*f.core)
+	if err := unix.SchedSetaffinity(0, &only); err != nil { // the child inherits the cores of this thread
+		return fmt.Errorf("choose core %d: %w", *f.core, err)
+	}
+	defer func() { _ = unix.SchedSetaffinity(0, &before) }()
+	return cmd.Start()
+}
+
 // awaitReady waits until the coordinator logs that it serves.
 func (p *coordinatorProcess) awaitReady() error {
 	deadline := time.Now().Add(processReadyTimeout)
--- a/internal/experiment/hostile/attacks.go
+++ b/internal/experiment/hostile/attacks.go
@@ -39,6 +39,11 @@
 	{Name: "unread", session: pipeline(get("/health/ready"), false)},
 	{Name: "valid", Valid: true, session: flood(query("/team-lookup", validBody, 300))},
 	{Name: "valid-large", Valid: true, session: flood(query("/team-lookup", largeBody, 300))},
+	{Name: "wide", Valid: true, session: flood(query("/team-lookup", wideBody, 300))},
+	{Name: "wide-repeated", Valid: true, session: flood(repeatedNames)},
+	{Name: "wide-mixed", Valid: true, session: flood(mixed)},
+	{Name: "wide-pipelined", Valid: true, session: pipeline(query("/team-lookup", wideBody, 300), true)},
+	{Name: "wide-unread", Valid: true, session: pipeline(query("/team-lookup", wideBody, 300), false)},
 	{Name: "valid-pipelined", Valid: true, session: pipeline(query("/team-lookup", validBody, 300), true)},
 
 	{Name: "partial-heads", Holding: true, session: hold(constant(noIDHead+fields), 'a')},
@@ -49,6 +54,7 @@
 	{Name: "silent", Holding: true, Valid: true, session: silent(query("/team-lookup", largeBody, 2000))},
 	{Name: "idle", Holding: true, session: hold(get("/health/ready"), '\n')},
 
+	{Name: "search-valid", Listener: Search, Valid: true, session: flood(query("/players/_search", `{"query":{"match":{"name":"x"}}}`, 300))},
 	{Name: "search-new-indices", Listener: Search, session: flood(newPaths("/index-%x/_search", "{}"))},
 	{Name: "search-nested", Listener: Search, session: flood(query("/players/_search", `{"query":`+deepBool+`}`, 300))},
 	{Name: "search-pipelined", Listener: Search, session: pipeline(newPaths("/index-%x/_search", "{}"), true)},
--- a/internal/experiment/hostile/requests.go
+++ b/internal/experiment/hostile/requests.go
@@ -15,6 +15,43 @@
 // validBody is the body of a query that a coordinator accepts.
 const validBody = `{"parts":[{"id":0,"w":1}],"expr":"x"}`
 
+// Shards is how many shards the coordinators under attack must have: wide queries have a part for each.
+const Shards = 8
+
+// wideBody is the body of a query with Shards parts that a coordinator accepts, and unsoundBody of one that it does not.
+var (
+	wideBody    = wideQuery(1.0 / Shards)
+	unsoundBody = wideQuery(1)
+)
+
+// wideQuery returns the body of a query with Shards parts of the given weight.
+func wideQuery(weight float64) string {
+	parts := make([]string, Shards)
+	for shard := range parts {
+		parts[shard] = fmt.Sprintf(`{"id":%d,"w":%g}`, shard, weight)
+	}
+	return `{"parts":[` + strings.Join(parts, ",") + `],"expr":"x"}`
+}
+
+// repeatedNameCount is how many names a client of repeatedNames uses in turn.
+const repeatedNameCount = 64
+
+// repeatedNames returns wide queries whose names were used before.
+func repeatedNames(c *client) []byte {
+	head := fmt.Sprintf("POST /team-lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: r%d-%d\r\nX-Timeout-Ms: 300\r\nContent-Length: %d\r\n\r\n",
+		c.number, c.sent%repeatedNameCount, len(wideBody))
+	return []byte(head + wideBody)
+}
+
+// mixed returns valid and unsound wide queries in turn.
+func mixed(c *client) []byte {
+	body := wideBody
+	if c.sent%2 == 1 {
+		body = unsoundBody
+	}
+	return []byte(queryHead(c, "/team-lookup", 300, len(body)) + "\r\n" + body)
+}
+
 // queryHead returns the start line and the fields of a query, without the empty line after them.
 func queryHead(c *client, path string, timeoutMS, length int) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nX-Request-Id: h%d-%d-%x\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n",
--- a/internal/experiment/node_files.go
+++ b/internal/experiment/node_files.go
@@ -87,10 +87,10 @@
 	warmupInitialShare := max(0.01, cfg.capacity.WarmupInitialShare)
 	return fmt.Sprintf(`{"az":0,"bounds":{"cancel":true,"connect_timeout":250,"keepalive":30000,"max_attempts":3,"max_open":%d,
 "max_retry_after":1000,"max_streams":32,"probes":true,"retry_after":true,"second_copies":true},"dcs":["ebene"],"kinds":["std-2core"],
-"extra":{"class_need":[1,1],"least_share":[%s],"in_a_row":1,"parts_a_call":1,"places":1,"slabs":1},"peers_total":%d,
+"extra":{"class_need":[1,1],"least_share":[%s],"in_a_row":1,"parts_a_call":1,"places":1,"slabs":%d},"peers_total":%d,
 "report":{"fields":["active","avg_ms","waiting"],"how":"inline"},"tenants":[],"tick":5,"request_classes":[%s],
 "rules":{"answer_slack":20,"cold":%d,"cold_from":%g,"drain_grace":1000,"fall_multiple":2,"tip_after":3000}}`,
-		cfg.maxOpen, strings.Join(minWeights, ","), cfg.coordinators, strings.Join(requestClasses, ","), warmupMS, warmupInitialShare)
+		cfg.maxOpen, strings.Join(minWeights, ","), max(1, cfg.fixedShards), cfg.coordinators, strings.Join(requestClasses, ","), warmupMS, warmupInitialShare)
 }
 
 // searchConfig returns the operators' file of coordinator i, in TOML.
--- a/internal/experiment/sound_client.go
+++ b/internal/experiment/sound_client.go
@@ -23,6 +23,7 @@
 	reconnect bool          // opens a new connection for each query
 	writeTime time.Duration // over which a query is written, in pieces; 0: at once
 	textBytes int           // size of a query's text; 0: a few bytes
+	parts     int           // of a query; 0: one
 	name      string        // prefix of the queries' names
 }
 
@@ -176,7 +177,7 @@
 // query sends a query and returns the status of its answer, 0 if the connection ended without one.
 func (c *soundConn) query(name string, l soundLoad) int {
 	_ = c.SetDeadline(time.Now().Add(l.timeout + l.writeTime + soundGiveUp))
-	body := fmt.Sprintf(`{"parts":[{"id":0,"w":1}],"expr":"%s"}`, strings.Repeat("x", max(l.textBytes, 1)))
+	body := l.body()
 	request := fmt.Sprintf("POST /team-lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		name, (l.timeout + l.writeTime).Milliseconds(), len(body), body)
 	if !c.write(request, l.writeTime) {
@@ -194,6 +195,15 @@
 	return response.StatusCode
 }
 
+// body returns the body of a query.
+func (l soundLoad) body() string {
+	parts := make([]string, max(1, l.parts))
+	for shard := range parts {
+		parts[shard] = fmt.Sprintf(`{"id":%d,"w":%g}`, shard, 1/float64(len(parts)))
+	}
+	return fmt.Sprintf(`{"parts":[%s],"expr":"%s"}`, strings.Join(parts, ","), strings.Repeat("x", max(l.textBytes, 1)))
+}
+
 // write writes a request over a time and reports whether that succeeded.
 func (c *soundConn) write(request string, over time.Duration) bool {
 	if over == 0 {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -37,6 +37,7 @@
 	servers      int
 	coordinators int
 	shards       int // initial number in each index
+	fixedShards  int // of the platform's queries, whose shard map is fixed; 0: one
 	replicas     int // servers of a replica set
 	records      int
 	capacity     emulator.Capacity
