routing: a window of statistics keeps its latest 16,384 samples at most

Cause: the sorted slices of the medians held all samples of 10 s; an addition and an expiry moved them, and samples that expired together were removed one by one. A server without new results kept its old samples. Change: a window keeps the latest 16,384 samples (1,638 a second for 10 s) and counts the ones before exactly; many that expire at once are removed in one pass; memory is returned as a window empties; each turn trims one server's window. Why it works: the cost of an addition, an expiry and a median is bounded, whatever was sent in the last ten seconds. Below the bound the medians are those of before, bit for bit: the golden traces pass.

--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -7,6 +7,7 @@
 	latencies *latencyStats
 	load      *loadEstimator
 	outliers  *outlierDetector
+	trimmed   int // index of the listed server whose samples were trimmed last
 }
 
 func newResultRecorder(settings *Settings) *resultRecorder {
@@ -18,9 +19,14 @@
 	}
 }
 
-// update adapts the estimates to the interval at which this coordinator gets a result from a server.
-func (r *resultRecorder) update(now time.Duration, servers int) {
-	interval := r.latencies.sampleInterval(now, servers)
+// update adapts the estimates to the interval at which this coordinator gets a result from one of the listed servers. It
+// also drops the old samples of one of them, so that servers without new results do not keep theirs.
+func (r *resultRecorder) update(now time.Duration, listed []*server) {
+	if len(listed) > 0 {
+		r.trimmed = (r.trimmed + 1) % len(listed)
+		listed[r.trimmed].latency.trim(now)
+	}
+	interval := r.latencies.sampleInterval(now, len(listed))
 	r.outliers.updateHalfLife(interval)
 	r.load.updateServiceTimeWeight(interval)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -71,7 +71,7 @@
 	if r.subscription.start(now) {
 		r.actions.add(Subscribe{})
 	}
-	r.results.update(now, len(r.endpoints.listed))
+	r.results.update(now, r.endpoints.listed)
 	r.decideQueries()
 	r.dispatchParts()
 	r.setTimer()
--- a/internal/routing/sliding_window_test.go
+++ b/internal/routing/sliding_window_test.go
@@ -50,3 +50,44 @@
 		t.Errorf("median of an empty window = %v, want the fallback 7", median)
 	}
 }
+
+// Guards against memory and work that grow with the number of samples in the span (issue 55).
+func TestSlidingWindowIsBounded(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	w := newSlidingWindow(10 * time.Second)
+	for i := range 20 * maxSamples {
+		w.add(time.Duration(i)*time.Microsecond, random.Float64())
+	}
+	if got := w.samples.len(); got != maxSamples || len(w.sorted) != maxSamples {
+		t.Errorf("%d samples and %d sorted values, want %d", got, len(w.sorted), maxSamples)
+	}
+	if got := w.count(time.Second); got != 20*maxSamples {
+		t.Errorf("count = %d, want all %d samples that were taken", got, 20*maxSamples)
+	}
+	if median := w.median(time.Second, -1); median < 0.45 || median > 0.55 {
+		t.Errorf("median = %v, want about 0.5", median)
+	}
+}
+
+// Guards against samples that are lost or left behind when many of them expire at once, and against memory that stays.
+func TestSlidingWindowDropsManySamplesAtOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	w := newSlidingWindow(10 * time.Second)
+	var late []float64
+	for i := range maxSamples {
+		value := float64(random.IntN(500)) // many equal values
+		if i < maxSamples-100 {
+			w.add(0, value)
+			continue
+		}
+		late = append(late, value)
+		w.add(5*time.Second, value)
+	}
+	slices.Sort(late)
+	if got := w.count(10 * time.Second); got != len(late) || !slices.Equal(w.sorted, late) {
+		t.Errorf("%d samples left, want the %d later ones", got, len(late))
+	}
+	if room := max(cap(w.sorted), len(w.samples.ring)); room > 8*len(late) {
+		t.Errorf("room for %d samples is kept for %d", room, len(late))
+	}
+}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -87,7 +87,7 @@
 		windows = append(windows, s.latency)
 	}
 	for _, w := range windows {
-		count += len(w.values)
+		count += w.samples.len() + w.dropped.steps.len()
 	}
 	return count
 }
