core: a deadline that is disarmed before the loop has seen it leaves the deferred queue

Cause: each request arms and disarms some deadlines at its connection, and each call queued a message for the core's loop without a bound, two for each deadline. While the loop is held up the queue grew with the requests that need no core. Change: the queue has at most one message for each deadline that is armed, or that was disarmed after the loop had armed it.

--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -50,7 +50,7 @@
 		epoch:              time.Now().Add(-clockAtStart),
 		mailbox:            make(chan message, max(minMailbox, config.MailboxSize)),
 		stopped:            make(chan struct{}),
-		deferred:           deferredQueue{wake: make(chan struct{}, 1)},
+		deferred:           newDeferredQueue(),
 		deadlines:          deadline.Queue{},
 		queries:            map[routing.RequestID]*query{},
 		parts:              map[routing.RequestID]*part{},
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -35,7 +35,7 @@
 	overdueLog eventlog.RateLimited
 	steps      stepMonitor
 
-	deferred deferredQueue
+	deferred *deferredQueue
 
 	// Owned by the goroutine of Run.
 	deadlines       deadline.Queue
--- a/internal/coordinator/deadlines.go
+++ b/internal/coordinator/deadlines.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"container/list"
 	"sync"
 	"time"
 
@@ -11,7 +12,9 @@
 type externalDeadline struct {
 	at    time.Duration // on the clock of Core.Now
 	fire  func()
-	entry *deadline.Entry // nil until the event loop has armed it
+	entry *deadline.Entry // nil until the event loop has armed it; owned by the loop
+
+	queued *list.Element // in the deferred queue, whose mutex guards it; nil once the loop has taken it, or it is disarmed
 }
 
 // Arm sets a deadline in the core's queue for another component, at a time on the clock of Core.Now. fire runs on the
@@ -19,8 +22,8 @@
 // Neither Arm nor that function blocks, even if the mailbox is full.
 func (c *Core) Arm(at time.Duration, fire func()) (disarm func()) {
 	d := &externalDeadline{at: at, fire: fire}
-	c.deferred.add(deadlineArmed{d})
-	return sync.OnceFunc(func() { c.deferred.add(deadlineDisarmed{d}) })
+	c.deferred.addArmed(d)
+	return sync.OnceFunc(func() { c.deferred.addDisarmed(d) })
 }
 
 func (c *Core) armExternal(d *externalDeadline) { d.entry = c.deadlines.Arm(d.at, d.fire) }
--- a/internal/coordinator/mailbox.go
+++ b/internal/coordinator/mailbox.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"sync"
-
 	"linkpass/internal/routing"
 	"linkpass/internal/shardmap"
 )
@@ -116,39 +114,3 @@
 		}
 	}
 }
-
-// deferredQueue is an unbounded queue of messages to the event loop, for callers that must not block on a full
-// mailbox.
-type deferredQueue struct {
-	wake chan struct{} // wakes the loop; has capacity 1 and holds a token while the queue may have messages
-
-	mu       sync.Mutex
-	messages []message
-}
-
-// add queues a message and wakes the event loop. It never blocks on the loop.
-func (d *deferredQueue) add(m message) {
-	d.mu.Lock()
-	d.messages = append(d.messages, m)
-	d.mu.Unlock()
-	select {
-	case d.wake <- struct{}{}:
-	default: // the loop has not read the previous token yet
-	}
-}
-
-// takeAll removes and returns all messages, oldest first.
-func (d *deferredQueue) takeAll() []message {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	messages := d.messages
-	d.messages = nil
-	return messages
-}
-
-// handleDeferred handles the deferred messages.
-func (c *Core) handleDeferred() {
-	for _, m := range c.deferred.takeAll() {
-		c.handle(m)
-	}
-}
