querynames: released names push out no name that is still claimed

Cause: each claim took its bucket's next slot in turn, also where others were free. A query of a forgotten name that runs, or may have run, could run again. Change: a claim takes a free slot, and replaces another claim only in a full bucket. As two claims of one name may now take different slots, each looks at its bucket again after it has written, and is taken back if it sees the other. The file's layout is the same. Beside a process of the version before, which does not look again, two claims of one name in the same microseconds may both succeed.

--- a/internal/querynames/doc.go
+++ b/internal/querynames/doc.go
@@ -2,6 +2,6 @@
 // answer, so that none of them runs twice.
 //
 // A Table lies in a file that the processes of one coordinator map into memory, so that a name is claimed in all of them
-// at once. It has a fixed size: a claim takes the place of the oldest one of its bucket. A process that ends leaves its
-// claims behind, as its queries may have run. The package does not know what a query is.
+// at once. It has a fixed size: a claim takes a free place of its bucket or, if none is free, that of another claim. A
+// process that ends leaves its claims behind, as its queries may have run. The package does not know what a query is.
 package querynames
--- a/internal/querynames/table.go
+++ b/internal/querynames/table.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"unsafe"
@@ -14,13 +15,15 @@
 const (
 	bucketCount = 4096
 	slotCount   = 7 // of a bucket
-	tableBytes  = int(unsafe.Sizeof(buckets{}))
+	// maxClaimTries bounds how often Claim tries again because others claim names of the same bucket at the same time.
+	maxClaimTries = 1000
+	tableBytes    = int(unsafe.Sizeof(buckets{}))
 )
 
-// bucket holds the hashes of the names that were claimed last, among those that belong to the bucket.
+// bucket holds the hashes of claimed names, among those that belong to the bucket.
 type bucket struct {
-	claims atomic.Uint64            // made so far; the next one takes the slot of this number, modulo slotCount
-	slots  [slotCount]atomic.Uint64 // hashes of names; 0: free
+	replaced atomic.Uint64            // claims replaced so far; the next one to be is in the slot of this number, modulo slotCount
+	slots    [slotCount]atomic.Uint64 // hashes of names; 0: free
 }
 
 type buckets [bucketCount]bucket
@@ -71,29 +74,55 @@
 func (t *Table) Claim(name string) (claim Claim, ok bool) {
 	hash := hashName(name)
 	b := &t.buckets[hash%bucketCount]
-	for {
-		// The number is read before the slots: a claim that was counted in it is seen in its slot, and one that was not
-		// competes for the same slot.
-		number := b.claims.Load()
-		target := &b.slots[number%slotCount]
-		oldest := target.Load()
-		if oldest == hash || b.contains(hash) {
+	for range maxClaimTries {
+		if b.count(hash) > 0 {
 			return Claim{}, false
 		}
-		if target.CompareAndSwap(oldest, hash) {
-			b.claims.CompareAndSwap(number, number+1)
-			return Claim{target, hash}, true
+		number := b.replaced.Load()
+		target, previous := b.target(number)
+		if previous == hash {
+			return Claim{}, false
+		}
+		if !target.CompareAndSwap(previous, hash) {
+			continue
+		}
+		// Whoever claims the same name in another slot meanwhile writes before it looks, as here: one of them sees the other.
+		if b.count(hash) > 1 {
+			target.CompareAndSwap(hash, 0)
+			runtime.Gosched()
+			continue
+		}
+		if previous != 0 {
+			b.replaced.CompareAndSwap(number, number+1)
+		}
+		return Claim{target, hash}, true
+	}
+	return Claim{}, false
+}
+
+// target returns the slot for a new claim: a free one if there is one, so that names that were released push out none that
+// are still claimed. Otherwise it is the slot whose claim is to be replaced next. Of several free slots it is the one
+// that would be replaced last.
+// previous is what the slot held.
+func (b *bucket) target(replaced uint64) (slot *atomic.Uint64, previous uint64) {
+	for back := uint64(1); back <= slotCount; back++ {
+		slot = &b.slots[(replaced+slotCount-back)%slotCount]
+		if slot.Load() == 0 {
+			return slot, 0
 		}
 	}
+	slot = &b.slots[replaced%slotCount]
+	return slot, slot.Load()
 }
 
-func (b *bucket) contains(hash uint64) bool {
+// count returns the number of slots that hold a hash.
+func (b *bucket) count(hash uint64) (n int) {
 	for i := range b.slots {
 		if b.slots[i].Load() == hash {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // Release gives a name up, so that it can be claimed again. Without it the name stays claimed until its place is taken.
--- a/internal/querynames/table_test.go
+++ b/internal/querynames/table_test.go
@@ -89,3 +89,77 @@
 		t.Error(err)
 	}
 }
+
+// Guards against names of queries that run, or may have run, that a flood of other names pushes out of the table although
+// the flood's own are released at once (issue 55): such a query could run a second time.
+func TestReleasedNamesPushOutNoClaim(t *testing.T) {
+	table := New()
+	const held, flood = 500, 200_000
+	for n := range held {
+		if _, ok := table.Claim(fmt.Sprint("held", n)); !ok {
+			t.Fatalf("name %d could not be claimed", n)
+		}
+	}
+	for n := range flood {
+		claim, ok := table.Claim(fmt.Sprint("flood", n))
+		if !ok {
+			t.Fatalf("name %d of the flood could not be claimed", n)
+		}
+		claim.Release()
+	}
+	for n := range held {
+		if _, ok := table.Claim(fmt.Sprint("held", n)); ok {
+			t.Errorf("name %d was claimed again", n)
+		}
+	}
+}
+
+// Guards against two claims of one name that succeed beside claims and releases of other names of its bucket.
+func TestConcurrentClaimsSucceedOnceInBusyBucket(t *testing.T) {
+	table := New()
+	var busy []string // names of one bucket
+	for n := 0; len(busy) < slotCount-1; n++ {
+		if name := fmt.Sprint("busy", n); hashName(name)%bucketCount == hashName("q")%bucketCount {
+			busy = append(busy, name)
+		}
+	}
+	stop := make(chan struct{})
+	var others, claimers sync.WaitGroup
+	for _, name := range busy[:3] {
+		others.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if claim, ok := table.Claim(name); ok {
+					claim.Release()
+				}
+			}
+		})
+	}
+	var holders, claimed atomic.Int32
+	for range 3 {
+		claimers.Go(func() {
+			for range 20_000 {
+				claim, ok := table.Claim("q")
+				if !ok {
+					continue
+				}
+				claimed.Add(1)
+				if holders.Add(1) > 1 {
+					t.Error("a name is claimed twice at a time")
+				}
+				holders.Add(-1)
+				claim.Release()
+			}
+		})
+	}
+	claimers.Wait()
+	close(stop)
+	others.Wait()
+	if claimed.Load() == 0 {
+		t.Error("the name was never claimed")
+	}
+}
