--- a/internal/experiment/floods.go
+++ b/internal/experiment/floods.go
@@ -1,14 +1,10 @@
 package experiment
 
 import (
-	"errors"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"time"
-
-	"linkpass/internal/experiment/hostile"
 )
 
 // Sizes and times of a run with a long flood.
@@ -75,15 +71,6 @@
 	return ok, nil
 }
 
-// floodedNode is one coordinator in a run with a flood.
-type floodedNode struct {
-	fleet   *processFleet
-	process *coordinatorProcess
-	sound   []*soundProcess
-	stops   []func() // of the hostile clients
-	result  *floodResult
-}
-
 // run runs one flood against new coordinators.
 func (c FloodsConfig) run(scenario floodScenario) (results []*floodResult, err error) {
 	nodes, err := c.startNodes(scenario)
@@ -170,130 +157,3 @@
 	}
 	return nil
 }
-
-// startSound starts sound clients that keep their connections, and others that open one for each query.
-func (n *floodedNode) startSound(programs programs) error {
-	for _, reconnect := range []bool{false, true} {
-		name := map[bool]string{false: "kept", true: "fresh"}[reconnect]
-		p, err := startSound(programs, SoundConfig{Target: n.fleet.platformAddr, Name: name, Clients: floodSoundClients, Parts: 1,
-			Pause: floodSoundPause, Timeout: floodSoundTimeout, Reconnect: reconnect})
-		if err != nil {
-			return err
-		}
-		n.sound = append(n.sound, p)
-	}
-	return nil
-}
-
-// stopSound ends the sound clients and records what they saw.
-func (n *floodedNode) stopSound() error {
-	sound := n.sound
-	n.sound = nil
-	var errs []error
-	for _, p := range sound {
-		report, err := p.stop()
-		if report != nil {
-			n.result.sound = append(n.result.sound, report)
-		}
-		errs = append(errs, err)
-	}
-	return errors.Join(errs...)
-}
-
-// startFlood starts the hostile clients of a scenario.
-func (n *floodedNode) startFlood(programs programs, scenario floodScenario, seed uint64) error {
-	n.result.memoryBefore = n.process.memory("VmRSS:")
-	n.result.beganAt = time.Now()
-	for name, conns := range scenario.attacks {
-		attack, ok := hostile.Find(name)
-		if !ok {
-			return fmt.Errorf("experiment: the flood %s has an unknown attack %q", scenario.name, name)
-		}
-		stop, err := n.fleet.startAttack(programs, plannedAttack{attack, conns}, seed)
-		if err != nil {
-			return err
-		}
-		n.stops = append(n.stops, stop)
-	}
-	return nil
-}
-
-// stopFlood ends the hostile clients.
-func (n *floodedNode) stopFlood() {
-	for _, stop := range n.stops {
-		stop()
-	}
-	n.stops = nil
-	n.result.memoryAfter = n.process.memory("VmRSS:")
-}
-
-// measure records the state of the process after the quiet time.
-func (n *floodedNode) measure() {
-	n.result.ended = n.process.hasEnded()
-	n.result.memoryLater = n.process.memory("VmRSS:")
-	n.result.peakMemory = n.process.peakMemory()
-	n.result.counters = n.process.counters()
-}
-
-// close ends all processes of the node and removes its files.
-func (n *floodedNode) close() {
-	for _, stop := range n.stops {
-		stop()
-	}
-	for _, p := range n.sound {
-		_, _ = p.stop()
-	}
-	if n.process != nil {
-		n.process.kill()
-		if path := os.Getenv(floodLogsVariable); path != "" {
-			_ = os.WriteFile(fmt.Sprintf("%s/%s-%d.log", path, n.result.scenario, n.result.node), []byte(n.process.log.String()), 0o600)
-		}
-	}
-	n.fleet.close()
-}
-
-// floodLogsVariable names the environment variable of the directory to which the coordinators' logs are written.
-const floodLogsVariable = "LINKPASS_FLOOD_LOGS"
-
-// floodResult is what a run with a flood showed of one coordinator. Memory is resident, in bytes.
-type floodResult struct {
-	scenario     string
-	node         int
-	limits       processLimits
-	beganAt      time.Time // of the flood
-	sound        []*SoundReport
-	memoryBefore int64
-	memoryAfter  int64 // at the flood's end
-	memoryLater  int64 // after the quiet time
-	peakMemory   int64
-	ended        bool // the process ended by itself
-	counters     map[string]int64
-}
-
-// keepsRules reports whether the process lived, kept its memory limit, gave memory back, and each query of a sound client
-// was answered in time.
-func (r *floodResult) keepsRules() bool {
-	limit := int64(r.limits.memoryMB) << 20
-	for _, sound := range r.sound {
-		if sound.Late > 0 || sound.Closed > 0 {
-			return false
-		}
-	}
-	return !r.ended && r.peakMemory <= limit && r.memoryLater <= limit/2
-}
-
-func (r *floodResult) String() string {
-	const mb = 1 << 20
-	var b strings.Builder
-	fmt.Fprintf(&b, "flood %s n%d: kept=%v memory before=%dMB after=%dMB later=%dMB peak=%dMB received=%d rejected=%d overdue=%d slow_steps=%d late_steps=%d",
-		r.scenario, r.node, r.keepsRules(), r.memoryBefore/mb, r.memoryAfter/mb, r.memoryLater/mb, r.peakMemory/mb,
-		r.counters["queries_received"], r.counters["queries_rejected"], r.counters["queries_overdue"],
-		r.counters["core_steps_slow"], r.counters["core_steps_late"])
-	for i, sound := range r.sound {
-		fmt.Fprintf(&b, "\n  %s: %v", []string{"kept ", "fresh"}[i], sound)
-		for _, m := range sound.Missed {
-			fmt.Fprintf(&b, "\n    %s sent %.2fs into the flood, status %d after %dms", m.Name, m.SentAt.Sub(r.beganAt).Seconds(), m.Status, m.Took)
-		}
-	}
-	return b.String()
-}
