--- a/cmd/linkpass-lab/floods_test.go
+++ b/cmd/linkpass-lab/floods_test.go
@@ -14,11 +14,16 @@
 	if programs == "" {
 		t.Skip("LINKPASS_BUILT is not set; make test sets it")
 	}
-	cmd := exec.CommandContext(t.Context(), filepath.Join(programs, "linkpass-lab"), "run", "floods", "--programs", programs,
-		"--only", "full-fleet", "--flood", "30s", "--quiet", "30s", "--seed", "1")
-	output, err := cmd.CombinedOutput()
-	t.Logf("%s", output)
-	if err != nil {
-		t.Error(err)
+	for _, flood := range []string{"full-fleet", "fast-fleet"} {
+		t.Run(flood, func(t *testing.T) {
+			t.Parallel()
+			cmd := exec.CommandContext(t.Context(), filepath.Join(programs, "linkpass-lab"), "run", "floods", "--programs", programs,
+				"--only", flood, "--flood", "30s", "--quiet", "30s", "--seed", "1")
+			output, err := cmd.CombinedOutput()
+			t.Logf("%s", output)
+			if err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
