fairqueue: a turn costs the processor time that it takes, not the time on the clock

What callers saw: with three flooded coordinators on one core (the deployment's core is shared), sound clients that open a connection for each query, and with fast servers also those that keep theirs, had answers 0.1 to 2.5 s late or none. No step of the core was slow. Cause: the cost of a connection's turn was the time on the clock between its begin and end, which holds what other processes and goroutines ran meanwhile. Work of the body store outside of turns is measured in the same way. Rests still go by the clock. The scheduler's tests use the clock, as their turns sleep on a fake one; their checks are unchanged. TestInterruptedTurnCostsProcessorTimeOnly: before, the two turns cost over 60 ms by construction.

--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -20,14 +20,15 @@
 
 // Scheduler grants turns to flows. Its methods are safe for concurrent use.
 type Scheduler struct {
-	slots int // turns that may run at a time
+	slots     int // turns that may run at a time
+	processor processorClock
 
 	mu      sync.Mutex
 	free    int           // slots without a turn
 	virtual time.Duration // start tag of the turn that was granted last; it never decreases
 	waiting waitHeap
 	lastSeq uint64
-	work    time.Duration // cost of turns and charges since the last rest, or since no turn ran for that long
+	work    time.Duration // of turns and charges since the last rest, or since no turn ran for that long
 	idleAt  time.Time     // when the latest turn ended
 	resting bool
 }
@@ -35,7 +36,7 @@
 // New returns a scheduler that runs at most slots turns at a time; a value below 1 counts as 1.
 func New(slots int) *Scheduler {
 	slots = max(1, slots)
-	return &Scheduler{slots: slots, free: slots}
+	return &Scheduler{slots: slots, free: slots, processor: threadTime}
 }
 
 // Flow is the use of a scheduler by one connection. Its methods are safe for concurrent use. Those of a nil flow grant
@@ -63,8 +64,8 @@
 	f.finish = max(s.virtual-maxCredit, f.finish) + cost
 }
 
-// Do waits for the flow's turn and calls work, which must not block. The time that work takes is the cost of the turn;
-// estimate is what it is expected to be. Of two flows that have used equally much, the one whose turn is expected to be
+// Do waits for the flow's turn and calls work, which must not block. The processor time that work takes is the cost of the
+// turn; estimate is what it is expected to be. Of two flows that have used equally much, the one whose turn is expected to be
 // shorter comes first.
 func (f *Flow) Do(estimate time.Duration, work func()) {
 	if f == nil {
@@ -72,17 +73,27 @@
 		return
 	}
 	began := f.begin(estimate)
-	defer f.end(began)
-	work()
+	cost := time.Duration(0)
+	defer func() { f.end(began, cost) }()
+	cost = f.scheduler.processor.measure(work)
 }
 
 // Pass waits for a turn and gives it up at once. A connection calls it after each read, whose cost it pays so.
 func (f *Flow) Pass() {
 	if f != nil {
-		f.end(f.begin(0))
+		f.end(f.begin(0), 0)
 	}
 }
 
+// Measure calls work outside of a turn, and charges the processor time that it takes to the flow. It does not wait.
+func (f *Flow) Measure(work func()) {
+	if f == nil {
+		work()
+		return
+	}
+	f.Charge(f.scheduler.processor.measure(work))
+}
+
 // Charge adds a cost to the flow without a turn, for work that is done for its connection outside of turns. It does not
 // wait.
 func (f *Flow) Charge(cost time.Duration) {
@@ -120,13 +131,14 @@
 	return time.Now()
 }
 
-// end ends a turn that began at the given time.
-func (f *Flow) end(began time.Time) {
+// end ends a turn that began at the given time and has taken a processor time of cost.
+func (f *Flow) end(began time.Time, cost time.Duration) {
 	s := f.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	f.spend(now.Sub(began) + turnOverhead)
+	f.spend(cost + turnOverhead)
+	s.work += max(0, now.Sub(began)-cost)
 	s.idleAt = now
 	s.free++
 	s.grantNext()
--- a/internal/fairqueue/scheduler_test.go
+++ b/internal/fairqueue/scheduler_test.go
@@ -9,11 +9,20 @@
 
 const turnTime = 500 * time.Microsecond
 
+// newWallScheduler returns a scheduler whose turns cost the time on the clock: the tests' turns sleep on a fake clock, and
+// use no processor time.
+func newWallScheduler(slots int) *Scheduler {
+	s := New(slots)
+	began := time.Now()
+	s.processor = func() time.Duration { return time.Since(began) }
+	return s
+}
+
 // A flow that always has work must not delay one that has little: among ten busy flows a light one waits for about one
 // turn and a rest, and not for all of them.
 func TestLightFlowComesBeforeBusyOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(1)
+		s := newWallScheduler(1)
 		stop := make(chan struct{})
 		for range 10 {
 			busy := s.NewFlow()
@@ -46,7 +55,7 @@
 // Equally busy flows get equal shares, whether their turns are long or short.
 func TestBusyFlowsGetEqualTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(1)
+		s := newWallScheduler(1)
 		stop := make(chan struct{})
 		var used [8]atomic.Int64
 		for i := range used {
@@ -79,7 +88,7 @@
 // One flow alone that never waits must rest too, because the runtime does not poll the network while it runs.
 func TestSingleBusyFlowRests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		flow := New(1).NewFlow()
+		flow := newWallScheduler(1).NewFlow()
 		began, work := time.Now(), time.Duration(0)
 		for range 100 {
 			flow.Do(0, func() { time.Sleep(turnTime) })
@@ -94,7 +103,7 @@
 // A charge counts like a turn: the flow comes after others until they have used as much.
 func TestChargedFlowComesLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(1)
+		s := newWallScheduler(1)
 		charged, other, holder := s.NewFlow(), s.NewFlow(), s.NewFlow()
 		charged.Charge(time.Second)
 		order := make(chan string, 2)
@@ -114,7 +123,7 @@
 // ones.
 func TestShortTurnComesBeforeLongOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(1)
+		s := newWallScheduler(1)
 		order := make(chan string, 9)
 		go s.NewFlow().Do(0, func() { time.Sleep(time.Millisecond) })
 		synctest.Wait()
@@ -135,7 +144,7 @@
 // Turns run at the same time up to the number of slots, and no more.
 func TestSlotsBoundConcurrentTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(2)
+		s := newWallScheduler(2)
 		var running, most atomic.Int32
 		for range 6 {
 			flow := s.NewFlow()
@@ -166,3 +175,23 @@
 		t.Error("work of a nil flow was not done")
 	}
 }
+
+// Guards against a connection that waits for seconds because something else ran in the middle of its turn, which was
+// charged to it (issue 55).
+func TestInterruptedTurnCostsProcessorTimeOnly(t *testing.T) {
+	const interruption = 30 * time.Millisecond
+	flow := New(1).NewFlow()
+	flow.Do(0, func() { time.Sleep(interruption) })
+	flow.Measure(func() { time.Sleep(interruption) })
+	if flow.finish >= interruption {
+		t.Errorf("two turns that did nothing but wait cost %v, want less than %v", flow.finish, interruption)
+	}
+	before := flow.finish
+	flow.Do(0, func() {
+		for began := time.Now(); time.Since(began) < interruption; {
+		}
+	})
+	if cost := flow.finish - before; cost < interruption/10 {
+		t.Errorf("a busy turn of %v cost %v", interruption, cost)
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -38,6 +38,10 @@
 // comes later by as much.
 func (r *Request) Charge(cost time.Duration) { r.flow.Charge(cost) }
 
+// Measure calls f at once, and charges the processor time that it takes to the request's connection. Unlike in Work, f may
+// block.
+func (r *Request) Measure(f func()) { r.flow.Measure(f) }
+
 // Hold adds bytes that are kept until the response is written, such as values that it is made of, to what the
 // connection holds.
 func (r *Request) Hold(bytes int64) { r.account.Force(bytes) }
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -35,9 +35,7 @@
 	if req.BodySink == nil {
 		req.Work(func() { s, body, err = f.planSearch(index, req) })
 	} else {
-		began := time.Now()
-		s, body, err = f.planSearch(index, req)
-		req.Charge(time.Since(began))
+		req.Measure(func() { s, body, err = f.planSearch(index, req) })
 	}
 	if err != nil {
 		return s, query, err
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -60,9 +60,8 @@
 	if !ok {
 		return f.reject(nameInUse(query.Name))
 	}
-	began := time.Now()
-	stored := f.storePayload(&query)
-	req.Charge(time.Since(began))
+	stored := false
+	req.Measure(func() { stored = f.storePayload(&query) })
 	if !stored {
 		name.Release()
 		return f.rejectPayload()
