fairqueue: a connection in debt gets a turn although others have used less

With servers that answer fast, three flooded coordinators on one core still had answers of sound clients up to 2.4 s late (1, 3 and 5 on kept connections; 15 of 1,048 on new ones at one of them). Cause: a turn can cost much that its client did not ask for: in it the collector makes the goroutine help, 1 to 4 ms. The flow then waited until each of 100 others had used as much, with all that the program does for them besides. Change: of four turns one goes to the connection that has waited longest, if that is 20 ms. It does not advance the virtual time, so that the others are not treated as light, and is charged as any. A light connection still comes next in the other three. TestFlowInDebtIsNotStarved; without the change the flow waits for 100 s of the others' turns (by the rule; not run).

--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -1,7 +1,6 @@
 package fairqueue
 
 import (
-	"container/heap"
 	"runtime"
 	"sync"
 	"time"
@@ -14,6 +13,10 @@
 	burst = 2 * time.Millisecond
 	// maxCredit bounds how far a flow that uses less than its share may come before the others.
 	maxCredit = 10 * time.Millisecond
+	// starvationWait is how long a flow waits at most before it may come before others whatever it has used.
+	starvationWait = 20 * time.Millisecond
+	// starvationShare is the number of turns of which one may go to a flow that has waited so long.
+	starvationShare = 4
 	// rest is how long no turn is granted after a burst. The runtime's poller waits in whole milliseconds.
 	rest = time.Millisecond
 )
@@ -26,7 +29,8 @@
 	mu      sync.Mutex
 	free    int           // slots without a turn
 	virtual time.Duration // start tag of the turn that was granted last; it never decreases
-	waiting waitHeap
+	waiting waiters
+	granted uint64 // turns that were granted to waiters
 	lastSeq uint64
 	work    time.Duration // of turns and charges since the last rest, or since no turn ran for that long
 	idleAt  time.Time     // when the latest turn ended
@@ -115,14 +119,14 @@
 	if s.free == s.slots && now.Sub(s.idleAt) >= rest {
 		s.work = 0
 	}
-	if s.free > 0 && len(s.waiting) == 0 && !s.restIfDue() {
+	if s.free > 0 && s.waiting.len() == 0 && !s.restIfDue() {
 		s.grant(start)
 		s.mu.Unlock()
 		return now
 	}
 	s.lastSeq++
-	w := &waiter{start: start, finish: start + estimate, seq: s.lastSeq, granted: make(chan struct{})}
-	heap.Push(&s.waiting, w)
+	w := &waiter{start: start, finish: start + estimate, seq: s.lastSeq, since: now, granted: make(chan struct{})}
+	s.waiting.add(w)
 	s.mu.Unlock()
 	<-w.granted
 	// A goroutine that is woken by another one inherits the rest of its time slice. Goroutines that serve no connection
@@ -152,13 +156,29 @@
 
 // grantNext begins the turns of the flows that wait, as long as there are free slots and no rest is due. mu is held.
 func (s *Scheduler) grantNext() {
-	for s.free > 0 && len(s.waiting) > 0 && !s.restIfDue() {
-		w := heap.Pop(&s.waiting).(*waiter)
-		s.grant(w.start)
+	for s.free > 0 && s.waiting.len() > 0 && !s.restIfDue() {
+		w := s.nextWaiter()
+		s.waiting.remove(w)
 		close(w.granted)
 	}
 }
 
+// nextWaiter returns the waiter whose turn begins now, and takes a slot for it: in general that with the smallest expected
+// finish tag. Of each starvationShare turns one goes to the flow that has waited longest, if that is starvationWait: the
+// wait of a flow that owes time grows with the number of flows that have to use as much before it. Such a turn does not
+// advance the virtual time, as the other flows have not used what the flow owes. mu is held.
+func (s *Scheduler) nextWaiter() *waiter {
+	s.granted++
+	oldest := s.waiting.longestWait()
+	if s.granted%starvationShare == 0 && time.Since(oldest.since) >= starvationWait {
+		s.free--
+		return oldest
+	}
+	w := s.waiting.smallestFinish()
+	s.grant(w.start)
+	return w
+}
+
 // restIfDue reports whether no turn may begin now. It begins a rest if a burst is over. mu is held.
 func (s *Scheduler) restIfDue() bool {
 	if s.resting {
@@ -180,31 +200,3 @@
 	s.work = 0
 	s.grantNext()
 }
-
-// waiter is a flow that waits for its turn.
-type waiter struct {
-	start   time.Duration // start tag
-	finish  time.Duration // expected finish tag
-	seq     uint64        // order of arrival, for equal tags
-	granted chan struct{} // closed when the turn begins
-}
-
-// waitHeap orders waiters by their expected finish tags.
-type waitHeap []*waiter
-
-func (h waitHeap) Len() int { return len(h) }
-func (h waitHeap) Less(i, j int) bool {
-	if h[i].finish != h[j].finish {
-		return h[i].finish < h[j].finish
-	}
-	return h[i].seq < h[j].seq
-}
-func (h waitHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *waitHeap) Push(x any)   { *h = append(*h, x.(*waiter)) }
-func (h *waitHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
-}
--- a/internal/fairqueue/scheduler_test.go
+++ b/internal/fairqueue/scheduler_test.go
@@ -195,3 +195,38 @@
 		t.Errorf("a busy turn of %v cost %v", interruption, cost)
 	}
 }
+
+// Guards against a flow that owes time and waits until each of many others has used as much, which takes seconds (issue
+// 55).
+func TestFlowInDebtIsNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const flows = 100
+		const bound = starvationWait + starvationShare*flows*(turnTime+rest)
+		s := newWallScheduler(1)
+		stop := make(chan struct{})
+		for range flows {
+			busy := s.NewFlow()
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						busy.Do(0, func() { time.Sleep(turnTime) })
+					}
+				}
+			}()
+		}
+		debtor := s.NewFlow()
+		debtor.Charge(time.Second)
+		for range 5 {
+			began := time.Now()
+			debtor.Do(0, func() {})
+			if waited := time.Since(began); waited > bound {
+				t.Errorf("the flow in debt waited %v, want at most %v", waited, bound)
+			}
+		}
+		close(stop)
+		time.Sleep(time.Second)
+	})
+}
