routing: health-check races are found by their time and dropped from the front

Cause: races stay for ten seconds, one for each turn in which a part waits, up to 2,000 at a tick of 5 ms; each turn and each reply to a health check went through all of them. Change: they are a queue in order of time, found by binary search; the memory of those that left is given back. Cost was not measured on its own. Result: TestRacesAreKeptInOrderAndDropped.

--- a/internal/routing/flood_test.go
+++ b/internal/routing/flood_test.go
@@ -47,3 +47,26 @@
 		t.Errorf("%d queries and %d attempts are open, want those of a few turns at most", len(open.open), len(open.attempts))
 	}
 }
+
+// Guards against health-check races of the last ten seconds that each turn and each reply goes through (issue 55).
+func TestRacesAreKeptInOrderAndDropped(t *testing.T) {
+	h := newHealthChecks(&Settings{HealthChecks: true, Coordinators: 1}, &actionList{}, newResultRecorder(&Settings{Classes: testSettings().Classes}))
+	s := &server{latency: newSlidingWindow(statsWindow)}
+	var races []*healthCheckRace
+	for turn := range 3000 {
+		now := time.Duration(turn) * 5 * ms
+		race := newHealthCheckRace(now)
+		race.joined = turn%2 == 0
+		h.retainRace(now, race)
+		races = append(races, race)
+	}
+	if got := h.races.len(); got != int(statsWindow/(10*ms)) {
+		t.Errorf("%d races are kept, want those of the last %v that a part waits for", got, statsWindow)
+	}
+	latest := races[len(races)-2]
+	h.recordInRaces(latest.startedAt, s, true)
+	h.recordInRaces(races[0].startedAt, s, true)
+	if !latest.results[s] || len(races[0].results) > 0 {
+		t.Errorf("results of the latest race %v and of a dropped one %v, want the reply in the latest alone", latest.results, races[0].results)
+	}
+}
--- a/internal/routing/health_check_race.go
+++ b/internal/routing/health_check_race.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -54,8 +55,8 @@
 	load      *loadEstimator
 	outliers  *outlierDetector
 
-	races      []*healthCheckRace
-	replyTimes *slidingWindow // of successful health checks, in nanoseconds
+	races      ringQueue[*healthCheckRace] // of the last statsWindow, oldest first
+	replyTimes *slidingWindow              // of successful health checks, in nanoseconds
 }
 
 func newHealthChecks(settings *Settings, actions *actionList, results *resultRecorder) *healthChecks {
@@ -105,10 +106,14 @@
 	} else {
 		h.outliers.recordFailedCheck(now, s)
 	}
-	for _, race := range h.races {
-		if race.startedAt == sentAt {
-			race.results[s] = replied
-		}
+	h.recordInRaces(sentAt, s, replied)
+}
+
+// recordInRaces records the result of a check in the races that started when it was sent.
+func (h *healthChecks) recordInRaces(sentAt time.Duration, s *server, replied bool) {
+	first := sort.Search(h.races.len(), func(i int) bool { return (*h.races.at(i)).startedAt >= sentAt })
+	for i := first; i < h.races.len() && (*h.races.at(i)).startedAt == sentAt; i++ {
+		(*h.races.at(i)).results[s] = replied
 	}
 }
 
@@ -148,11 +153,12 @@
 // retainRace stores the race of this turn if a part waits for it, and drops races that started more than
 // statsWindow ago.
 func (h *healthChecks) retainRace(now time.Duration, race *healthCheckRace) {
-	h.races = append(h.races, race)
-	oldest := now - statsWindow
-	h.races = slices.DeleteFunc(h.races, func(r *healthCheckRace) bool {
-		return r.startedAt < oldest || !r.joined
-	})
+	if race.joined {
+		h.races.push(race)
+	}
+	for h.races.len() > 0 && (*h.races.at(0)).startedAt < now-statsWindow {
+		h.races.pop()
+	}
 }
 
 // raceState is the state of a race as seen by one part.
--- a/internal/routing/ring_queue.go
+++ b/internal/routing/ring_queue.go
@@ -37,6 +37,7 @@
 // pop removes the oldest item and returns it. The queue must not be empty.
 func (q *ringQueue[T]) pop() T {
 	item := *q.at(0)
+	clear(q.ring[q.first : q.first+1]) // so that the ring does not keep what the item refers to
 	q.first = (q.first + 1) % len(q.ring)
 	q.count--
 	if len(q.ring) > minRing && q.count <= len(q.ring)/4 {
