--- a/internal/coordinator/attempts.go
+++ b/internal/coordinator/attempts.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// addToBatch adds the attempt to a batch for its server that has room, or to a new batch.
+// addToBatch adds the attempt to the latest batch for its server if that has room, or to a new batch.
 func (c *Core) addToBatch(a *attempt, writeBefore time.Duration) {
 	p, q := a.part, a.part.query
 	out := Attempt{
@@ -62,13 +62,11 @@
 		ended:       &a.ended,
 		shardMoved:  &a.shardMoved,
 	}
-	for i := range c.batches {
-		b := &c.batches[i]
-		if b.server == a.server && len(b.attempts) < c.settings.PartsPerRequest {
-			b.attempts = append(b.attempts, out)
-			return
-		}
+	if i, ok := c.latestBatch[a.server]; ok && len(c.batches[i].attempts) < c.settings.PartsPerRequest {
+		c.batches[i].attempts = append(c.batches[i].attempts, out)
+		return
 	}
+	c.latestBatch[a.server] = len(c.batches)
 	c.batches = append(c.batches, batch{a.server, []Attempt{out}})
 }
 
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -55,6 +55,7 @@
 		queries:            map[routing.RequestID]*query{},
 		parts:              map[routing.RequestID]*part{},
 		attempts:           map[AttemptID]*attempt{},
+		latestBatch:        map[routing.ServerID]int{},
 		healthChecks:       map[uint64]*healthCheck{},
 		collections:        map[string]*collection{},
 	}, nil
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -47,8 +47,9 @@
 	parts           map[routing.RequestID]*part
 	attempts        map[AttemptID]*attempt
 	healthChecks    map[uint64]*healthCheck
-	batches         []batch // of this turn
-	onWarmedUp      func()  // called once no health check is in flight; nil if there is no callback
+	batches         []batch                  // of this turn
+	latestBatch     map[routing.ServerID]int // by server: the index in batches
+	onWarmedUp      func()                   // called once no health check is in flight; nil if there is no callback
 	collections     map[string]*collection
 	collectionCount int // collections seen so far, including those that were removed
 }
@@ -140,6 +141,7 @@
 	events := c.events
 	c.events = nil
 	c.batches = c.batches[:0]
+	clear(c.latestBatch)
 	for _, action := range c.router.Turn(now, events) {
 		c.executeAction(now, action)
 	}
