--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -19,8 +19,9 @@
 	}
 }
 
-// update adapts the estimates to the interval at which this coordinator gets a result from one of the listed servers. It
-// also drops the old samples of one of them, so that servers without new results do not keep theirs.
+// update adapts the estimates to the interval at which this coordinator gets a result from one of the listed
+// servers. It also drops the old samples of one of them, so that servers without new results do not keep
+// theirs.
 func (r *resultRecorder) update(now time.Duration, listed []*server) {
 	if len(listed) > 0 {
 		r.trimmed = (r.trimmed + 1) % len(listed)
--- a/internal/routing/ring_queue.go
+++ b/internal/routing/ring_queue.go
@@ -3,8 +3,8 @@
 // minRing is the smallest capacity of a ringQueue that holds anything.
 const minRing = 16
 
-// ringQueue is a first-in, first-out queue in a ring buffer. Its capacity follows its length in both directions, so that
-// it holds no memory for what has left it. Its zero value is empty.
+// ringQueue is a first-in, first-out queue in a ring buffer. Its capacity follows its length in both
+// directions, so that it holds no memory for what has left it. Its zero value is empty.
 type ringQueue[T any] struct {
 	ring  []T // its length is the capacity
 	first int // index of the oldest item
@@ -14,7 +14,8 @@
 // len returns the number of items.
 func (q *ringQueue[T]) len() int { return q.count }
 
-// at returns the item at a position, counted from the oldest. The pointer is valid until the next push or pop.
+// at returns the item at a position, counted from the oldest. The pointer is valid until the next push or
+// pop.
 func (q *ringQueue[T]) at(i int) *T { return &q.ring[(q.first+i)%len(q.ring)] }
 
 // newest returns the newest item, or nil if there is none.
--- a/internal/routing/sliding_count.go
+++ b/internal/routing/sliding_count.go
@@ -5,9 +5,9 @@
 // maxCountSteps is the maximum number of steps of time that a slidingCount tells apart.
 const maxCountSteps = 1 << 14
 
-// slidingCount counts the events of the last span of time. However many there are, an event costs the same, and the
-// memory is bounded: events of one turn are counted together, as are those of turns that lie closer together than
-// span/maxCountSteps.
+// slidingCount counts the events of the last span of time. However many there are, an event costs the same,
+// and the memory is bounded: events of one turn are counted together, as are those of turns that lie closer
+// together than span/maxCountSteps.
 type slidingCount struct {
 	span  time.Duration
 	steps ringQueue[countStep] // oldest first, at most maxCountSteps+1
--- a/internal/routing/sliding_window.go
+++ b/internal/routing/sliding_window.go
@@ -9,15 +9,17 @@
 	// maxSamples is the maximum number of samples in a slidingWindow; beyond it the oldest are dropped early.
 	maxSamples = 1 << 14
 
-	// Trimming more samples than this at once goes through the sorted values once, instead of once for each sample.
+	// Trimming more samples than this at once goes through the sorted values once, instead of once for each
+	// sample.
 	maxSingleRemovals = 16
 
 	// minSorted is the smallest capacity to which the sorted values are shrunk.
 	minSorted = 64
 )
 
-// slidingWindow returns the number of the samples that were taken in the last span of time, and the median of the latest
-// maxSamples of them. An addition or a removal costs at most a move of the sorted values, however many samples there were before.
+// slidingWindow returns the number of the samples that were taken in the last span of time, and the median of
+// the latest maxSamples of them. An addition or a removal costs at most a move of the sorted values, however
+// many samples there were before.
 type slidingWindow struct {
 	span    time.Duration
 	samples ringQueue[sample] // oldest first
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -72,9 +72,11 @@
 	return true
 }
 
-// SampleCount returns the number of samples and of steps of time that the router's windows hold, for display only.
+// SampleCount returns the number of samples and of steps of time that the router's windows hold, for display
+// only.
 func (r *Router) SampleCount() (count int) {
-	counts := append([]*slidingCount{r.retries.arrivals, r.retries.furtherAttempts}, r.admission.quotas.arrivals...)
+	counts := []*slidingCount{r.retries.arrivals, r.retries.furtherAttempts}
+	counts = append(counts, r.admission.quotas.arrivals...)
 	for _, c := range counts {
 		count += c.steps.len()
 	}
