experiment: floods of queries with many parts have a test of their own, known red

Trace: no query late; the fleet (600 parts a second) is at its limit with ten clients of eight parts, and queries of sound clients end as 500 at their 400 ms.

--- a/internal/experiment/hostile/attack.go
+++ b/internal/experiment/hostile/attack.go
@@ -25,6 +25,7 @@
 	Listener Listener
 	Holding  bool // it holds connections open and needs many of them, instead of sending at full speed on a few
 	Valid    bool // it sends queries that are served, so that the fleet's capacity is shared with it
+	Wide     bool // its queries have Shards parts, so that few of them use the fleet's whole capacity
 	Overrun  bool // it sends more behind its queries than is read ahead
 	session  session
 }
--- a/internal/experiment/hostile_clients_test.go
+++ b/internal/experiment/hostile_clients_test.go
@@ -138,7 +138,12 @@
 // Guards against clients that send small or unsound requests at full speed until others get their answers late or never
 // (report 9bf5e0).
 func TestFloodsDelayNoOtherClient(t *testing.T) {
-	testAttacks(t, floodConns, checksKept|checksFresh, func(a hostile.Attack) bool { return !a.Holding })
+	testAttacks(t, floodConns, checksKept|checksFresh, func(a hostile.Attack) bool { return !a.Holding && !a.Wide })
+}
+
+// Guards against clients that send queries of many parts at full speed until those of others are late or fail (issue 55).
+func TestWideFloodsLeaveQueriesServed(t *testing.T) {
+	testAttacks(t, floodConns, checksKept|checksFresh, func(a hostile.Attack) bool { return a.Wide })
 }
 
 // crowdAttacks selects the attacks of more connections than there are descriptors.
